Plan again when an engine carried out other orders

Cause: after an order without an answer, an engine that had accepted another holder's late order got the same order once more with the new count; a load that was planned for other contents may not fit. Ruled out: waiting for the count to match, which never happens.

--- a/cowsliprack/transport/order_desk.py
+++ b/cowsliprack/transport/order_desk.py
@@ -29,7 +29,18 @@
 # accepted others; then it is planned again from what the engine says.
 _MOST_BUSY_ANSWERS = 80
 # Such answers after which the engine is asked what it has accepted.
-_BUSY_ANSWERS_BEFORE_SURVEY = 6
+_ANSWERS_BEFORE_SURVEY = 6
+
+
+@dataclass(slots=True)
+class _Tries:
+    """What became of the tries of one order so far.
+
+    :param in_doubt: one got no answer and may have been accepted.
+    """
+
+    in_doubt: bool = False
+    busy_answers: int = 0
 
 
 @dataclass(slots=True)
@@ -125,52 +136,71 @@
         The same order is sent again, so that one that is carried out late
         does nothing that was not decided.
         """
-        busy_answers = 0
+        tries = _Tries()
         while self.is_current(engine) and self.may_order():
-            authority = Authority(
-                self.state.instance_id,
-                self.state.fencing,
-                engine.order_count,
-            )
-            engine.tries += 1
-            answer = await self.engines.send_order(
-                engine.record,
-                order,
-                authority,
-            )
-            if answer is OrderAnswer.busy:
-                busy_answers += 1
-                if busy_answers > _MOST_BUSY_ANSWERS:
-                    return answer
-                await anyio.sleep(_AGAIN_SECONDS)
-                if busy_answers % _BUSY_ANSWERS_BEFORE_SURVEY:
-                    continue
-                if await self._was_carried_out(engine, order):
-                    return OrderAnswer.holds
-                continue
-            if answer is not OrderAnswer.unknown:
-                return answer
+            answer = await self._send_once(engine, order)
+            settled = await self._settle(engine, order, answer, tries)
+            if settled is not None:
+                return settled
             await anyio.sleep(_AGAIN_SECONDS)
         return OrderAnswer.refused
 
-    async def _was_carried_out(
+    async def _settle(
         self,
         engine: EngineState,
         order: EngineOrder,
-    ) -> bool:
-        """Ask an engine that refused an order; return whether it had it."""
+        answer: OrderAnswer,
+        tries: _Tries,
+    ) -> OrderAnswer | None:
+        """Return the fate of an order, or ``None`` to send it again."""
+        if answer is OrderAnswer.unknown:
+            tries.in_doubt = True
+            return None
+        if answer is not OrderAnswer.busy:
+            return answer
+        tries.busy_answers += 1
+        if tries.busy_answers > _MOST_BUSY_ANSWERS:
+            return OrderAnswer.busy
+        if tries.in_doubt or not tries.busy_answers % _ANSWERS_BEFORE_SURVEY:
+            return await self._find_fate(engine, order)
+        return None
+
+    async def _send_once(
+        self,
+        engine: EngineState,
+        order: EngineOrder,
+    ) -> OrderAnswer:
+        engine.tries += 1
+        authority = Authority(
+            self.state.instance_id,
+            self.state.fencing,
+            engine.order_count,
+        )
+        return await self.engines.send_order(engine.record, order, authority)
+
+    async def _find_fate(
+        self,
+        engine: EngineState,
+        order: EngineOrder,
+    ) -> OrderAnswer | None:
+        """Ask an engine that refused an order what it has accepted.
+
+        :returns: ``None`` when nothing has changed there; ``holds`` when it
+            has carried out the order; ``busy`` when it carried out others, so
+            that the order may not fit any more.
+        """
         survey = await self.engines.survey(engine.record)
         if survey is None or survey.busy:
-            return False
+            return None
         if survey.order_count == engine.order_count:
-            return False
+            return None
         take_survey(engine, survey)
         held = engine.adapters_by_model.get(order.model)
+        has = held is not None
         if order.adapter:
             has = held is not None and order.adapter in held
-        else:
-            has = held is not None
-        return has == (order.kind is OrderKind.load)
+        is_done = has == (order.kind is OrderKind.load)
+        return OrderAnswer.holds if is_done else OrderAnswer.busy
 
     async def _wait_for_end(
         self,
