Test the gateway against stand-ins of the platform; print failed steps

Adds stand-ins of the platform's store and engines, 29 scenarios with real processes, and tables for the rotation, the credit of tokens and the told end of a lease.

A request that may have run is sent to no more targets than its route allows, counted by sends; before, it went back to the first target.

--- a/cowsliprack/transport/route_job.py
+++ b/cowsliprack/transport/route_job.py
@@ -25,6 +25,7 @@
         event, seconds.
     :param tried: targets to which the request was sent.
     :param sends: how often it was sent.
+    :param runs: sends after which it may have run.
     :param may_have_run: its bytes went out and no target denied running it.
     :param blocks: events of the answer passed on so far.
     """
@@ -43,6 +44,7 @@
     body: bytes = b''
     tried: list[str] = field(default_factory=list)
     sends: int = 0
+    runs: int = 0
     may_have_run: bool = False
     blocks: EventBlocks = field(default_factory=EventBlocks)
     first_byte_at: float = 0
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -102,7 +102,9 @@
     ) -> None:
         """Return if the request shall be sent again, else raise."""
         now = self.clock()
-        job.may_have_run = job.may_have_run or failure.ran is Ran.may_have_run
+        if failure.ran is Ran.may_have_run:
+            job.may_have_run = True
+            job.runs += 1
         self.choice.fail(target.target_id, now)
         retry, reason = self._may_retry(job, failure, now)
         log_decision(
@@ -134,6 +136,8 @@
             return False, 'may have run'
         if failure.unreachable:
             return True, 'never reached the target'
+        if job.runs >= job.route.attempts:
+            return False, 'attempts are used up'
         if not self.budget.spend(now):
             return False, 'retry budget is spent'
         return True, 'retry'
--- a/tests/coordination/lease.feature
+++ b/tests/coordination/lease.feature
@@ -105,3 +105,26 @@
     And c joins and runs for 10 seconds
     Then c has the role leader
     And c expects its predecessor to act for at least 860 seconds
+
+  Scenario Outline: A holder that has said when it stops is succeeded: <fault>
+    When a says what is left of its lease
+    And a has the fault "frozen" and b runs for <seconds> seconds
+    Then a has the role <role>
+    And b has the role <other>
+
+    Examples:
+      | fault                  | seconds | role   | other    |
+      | frozen, not yet over   | 3       | leader | follower |
+      | frozen, over           | 6.7     | lapsed | leader   |
+
+  Scenario: A holder that has stopped is succeeded at once
+    When a gives up its lease without the store and says so
+    And a has the fault "frozen" and b runs for 1 seconds
+    Then b has the role leader
+
+  Scenario: A renewal after the message counts, also without an answer
+    When a says what is left of its lease
+    And the next 1 writes of a are unanswered
+    And both run for 2.5 seconds in all
+    And a has the fault "frozen" and b runs for 4.2 seconds
+    Then b has the role follower
--- /dev/null
+++ b/tests/coordination/rotation.feature
@@ -0,0 +1,125 @@
+Feature: Rotation of models over engines
+  Guards against the faults that cost most under a load of many rare models: a
+  load from the weight store that blocks an engine for seconds, an unload that
+  waits for running requests, models loaded and dropped by turns, and memory
+  that is promised twice (P1, P2, P3).
+
+  Background:
+    Given engines with room for two models and models a to f
+
+  Scenario: Requests for one model are served by one load
+    Given engine e1 holds a, b and has c on disk
+    And 3 requests at different instances wait for c
+    When the rotation plans
+    Then the orders are "e1 unload a"
+    And nothing more is ordered while that is under way
+
+  Scenario: The load follows once the room is free
+    Given engine e1 holds a, b and has c on disk
+    And 1 request waits for c
+    When the rotation plans
+    And the orders have been carried out
+    And the rotation plans
+    Then the orders are "e1 load c"
+
+  Scenario Outline: The victim is <victim>, because <reason>
+    Given engine e1 holds a, b and has c on disk
+    And <fact>
+    And 1 request waits for c
+    When the rotation plans
+    Then the orders are "<orders>"
+
+    Examples:
+      | victim | reason                            | fact                      | orders      |
+      | b      | a runs a request                  | e1 runs 1 request for a   | e1 unload b |
+      | b      | a was asked for lately            | a is asked for often      | e1 unload b |
+      | b      | a was loaded a moment ago         | a has just been loaded    | e1 unload b |
+      | b      | somebody waits for a              | 1 request waits for a/x1  | e1 load a x1 |
+      | none   | both were loaded a moment ago     | all have just been loaded |             |
+
+  Scenario: Running requests are not interrupted and do not block other orders
+    Given engine e1 holds a, b and has c on disk
+    And e1 runs 1 request for a
+    And e1 runs 1 request for b
+    And 1 request waits for c
+    When the rotation plans
+    Then the orders are ""
+    When the requests for a have ended
+    And the rotation plans
+    Then the orders are "e1 unload a"
+
+  Scenario: No load from the weight store while an engine has a copy
+    Given engine e1 holds a, b and has c on disk
+    And engine e2 holds d
+    And e1 carries out an order
+    And 1 request waits for c
+    When the rotation plans
+    Then the orders are ""
+
+  Scenario: A model that lies nowhere is loaded from the weight store
+    Given engine e1 holds a
+    And 1 request waits for f
+    When the rotation plans
+    Then the orders are "e1 load f"
+
+  Scenario: Loads from the weight store keep to their limit
+    Given 9 empty engines
+    And 1 request waits for each of a to f
+    When the rotation plans for 1 second
+    Then 3 loads were ordered
+
+  Scenario: The group that misses its latency target first goes first
+    Given engine e1 holds a, b and has c, d on disk
+    And 1 request waits for c and misses its target in 1.5 seconds
+    And 1 request waits for d and misses its target in 0.7 seconds
+    When the rotation plans
+    And the orders have been carried out
+    And the rotation plans
+    Then the orders are "e1 load d"
+
+  Scenario: A late group does not go before one that can be in time
+    Given engine e1 holds a, b and has c, d on disk
+    And 1 request waits for c and has missed its target
+    And 1 request waits for d and misses its target in 1.5 seconds
+    When the rotation plans
+    And the orders have been carried out
+    And the rotation plans
+    Then the orders are "e1 load d"
+
+  Scenario: A busy model gets a further replica
+    Given engine e1 holds a, b and has c on disk
+    And engine e2 holds d and has a on disk
+    And e1 runs 20 requests for a
+    When the rotation plans
+    Then the orders are "e2 load a"
+
+  Scenario: A replica that is not needed takes no new requests
+    Given engine e1 holds a, b and has c on disk
+    And engine e2 holds a, d and has c on disk
+    And e1 runs 2 requests for a
+    When the rotation plans
+    Then a is offered by 1 engine
+
+  Scenario: A model that is wanted again before its unload is offered again
+    Given engine e1 holds a, b and has c on disk
+    And e1 runs 1 request for a
+    And e1 runs 1 request for b
+    And 1 request waits for c
+    When the rotation plans
+    And 1 request waits for a
+    And the rotation plans
+    Then a is offered by 1 engine
+
+  Scenario: An engine that has not been surveyed gets no order
+    Given engine e1 holds a, b and has c on disk
+    And e1 has not been surveyed
+    And 1 request waits for c
+    When the rotation plans
+    Then the orders are ""
+
+  Scenario: An adapter that was loaded a moment ago stays for its request
+    Given engine e1 holds a with adapters x1 to x8
+    And adapter x1 of a has just been loaded
+    And 1 request waits for a/x9
+    When the rotation plans
+    Then the orders are "e1 unload a x2"
--- /dev/null
+++ b/tests/coordination/token_credit.feature
@@ -0,0 +1,44 @@
+Feature: Credit of tokens over all instances
+  Guards against an organisation that gets more than its limit over all
+  instances together while instances are cut off, restarted or led by another
+  one, and against refusals of an organisation that keeps to its rate (P7).
+
+  Background:
+    Given an organisation with 10000 tokens a second and a burst of 10000
+    And 6 instances that share a window of 8 seconds and a slack of 7400 tokens
+
+  Scenario Outline: An organisation that sends six times its rate: <fault>
+    When it sends 60 requests of 1000 tokens a second for 30 seconds while <fault>
+    Then no window admits more than its limit
+    And at least <least> tokens were admitted
+
+    Examples:
+      | fault                              | least  |
+      | nothing fails                      | 280000 |
+      | 3 instances are cut off            | 200000 |
+      | the leader changes every 5 seconds | 200000 |
+      | all instances are cut off          | 120000 |
+      | instances restart every 7 seconds  | 200000 |
+
+  Scenario Outline: An organisation within its rate is not refused: <spread>
+    When it sends 5 requests of 1000 tokens a second for 30 seconds <spread>
+    Then at most 1 in 100 requests was refused
+
+    Examples:
+      | spread               |
+      | evenly               |
+      | through one instance |
+
+  Scenario: A limit that was lowered holds after a window
+    When it sends 60 requests of 1000 tokens a second and its rate falls to 2000
+    Then no window after the change admits more than the new limit
+
+  Scenario: Tokens of a request that did not run come back
+    Given an instance that has spent all it has
+    When a request of 500 tokens turns out not to have run
+    Then a request of 500 tokens is admitted
+
+  Scenario: Two waiting requests learn of a refusal without asking twice
+    Given an instance that has spent all it has
+    When the leader has nothing to grant for 0.4 seconds
+    Then further requests are denied without a message for 0.4 seconds
--- /dev/null
+++ b/tests/platform/gateway.feature
@@ -0,0 +1,138 @@
+Feature: Gateway processes on the platform
+  Guards the whole path against faults around it: real processes before
+  stand-ins of the platform's store, engines and services.
+
+  Background:
+    Given two gateways on the platform
+
+  Scenario: A model that no engine holds is loaded and streamed
+    When a caller asks g1 for a stream of m3 at /report/
+    Then the answer is 200 with 5 pieces in order
+    And no engine held more models than it has places for
+
+  Scenario: An adapter that no engine holds is loaded and used
+    When a caller asks g2 for a stream of m0/a3 at /chat/
+    Then the answer is 200 with 5 pieces in order
+
+  Scenario: Requests at both gateways make one load
+    When callers ask g1 and g2 for a stream of m2 at /report/ 6 times at once
+    Then every answer is 200 with 5 pieces in order
+    And m2 was loaded once
+
+  Scenario: A target learns the organisation and never the key
+    When a caller sends an order to g1 and claims to be another organisation
+    Then the answer is 200
+    And the service saw the organisation "desk" and no key
+
+  Scenario Outline: A request is refused: <why>
+    When a caller sends <request> to g1
+    Then the answer is <status>
+    And no target ran it
+
+    Examples:
+      | why                   | request                       | status |
+      | unknown key           | an order with an unknown key  | 401    |
+      | no key                | an order without a key        | 401    |
+      | unknown route         | a request to /nowhere/        | 404    |
+      | no id                 | an order without an id        | 400    |
+      | body over the limit   | an order of 200000 bytes      | 413    |
+
+  Scenario: A broken stream is resumed without a gap
+    Given the next stream of an engine breaks after 2 pieces
+    When a caller asks g1 for a stream of m0 at /chat/
+    Then the answer is 200 with 5 pieces in order
+
+  Scenario: A broken stream that may not be resumed does not look complete
+    Given the next stream of an engine breaks after 2 pieces
+    When a caller asks g1 for a stream of m0 at /report/
+    Then the answer ends early
+    And it was run once
+
+  Scenario Outline: An answer of another request never reaches a caller: <kind>
+    Given the next answer of each service carries another id
+    When a caller sends <request> to g1
+    Then the answer is <status>
+    And it was run <runs>
+
+    Examples:
+      | kind       | request  | status | runs       |
+      | unsafe     | an order | 502    | once       |
+      | safe       | a lookup | 502    | at 2 targets |
+
+  Scenario: A request that a target refused without running it goes on
+    Given the next request of each service is refused without running it
+    When a caller sends a lookup to g1
+    Then the answer is 200
+
+  Scenario: A withdrawn key stops on a connection that stays open
+    Given a caller with an open connection to g1
+    When the key is withdrawn
+    Then the connection gets 401 within 2 seconds
+
+  Scenario: A withdrawn key stops on an instance without a store
+    Given a caller with an open connection to g1
+    When the store falls silent
+    Then the connection gets 503 within 4 seconds
+    And a route open to all is still served by g1
+
+  Scenario: The configuration in force never goes back
+    When the operator moves a route and then the store's history is dropped
+    Then the new route is served by both gateways within 2 seconds
+    And the old route is not served any more
+
+  Scenario: Entries of other writers disturb nothing
+    Given malformed and foreign entries among the targets
+    When a caller sends an order to g1
+    Then the answer is 200
+
+  Scenario: A target that leaves gets no new requests
+    When service s1 says that it is draining
+    Then 20 lookups at both gateways run at s2 only
+
+  Scenario: A target whose entry vanishes gets no new requests
+    When the entry of service s1 vanishes
+    Then 20 lookups at both gateways run at s2 only
+
+  Scenario: A killed leader is replaced
+    Given a gateway leads
+    When the leading gateway is killed
+    Then a stream of m3 at /report/ through the other gateway is served within 8 seconds
+
+  Scenario: A leader that was frozen past its lease gives no order afterwards
+    Given a gateway leads
+    When the leading gateway is frozen until the other one leads
+    Then no engine has accepted an order of an old lease
+
+  Scenario: Orders that are carried out late overfill no engine
+    Given the next 2 orders of each engine are carried out 0.9 seconds late
+    When a caller asks g1 for a stream of m2 at /report/
+    And a caller asks g2 for a stream of m3 at /report/
+    Then no engine held more models than it has places for
+
+  Scenario: An order whose answer is lost is carried out once
+    Given the next 2 orders of each engine get no answer
+    When a caller asks g1 for a stream of m2 at /report/
+    Then the answer is 200 with 5 pieces in order
+    And m2 was loaded once
+
+  Scenario: A planned stop cuts no stream
+    When g1 is told to stop while it streams 60 pieces
+    Then g1 says at once that it is not ready
+    And the stream ends whole
+    And g1 exits within 6 seconds
+
+  Scenario: All instances lose power and recover from the store alone
+    When both gateways are killed and started again
+    Then a stream of m3 at /report/ through g1 is served within 8 seconds
+
+  Scenario: An instance starts while the store is away
+    When g2 is killed and started again while the store is away for 2 seconds
+    Then g2 becomes ready and serves an order
+
+  Scenario: A run ends when its caller leaves
+    When a caller leaves g1 in the middle of a stream of 500 pieces
+    Then no engine runs it half a second later
+
+  Scenario: A reloaded settings file does not end the process
+    When g1 is told that its settings have changed
+    Then g1 still serves an order
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -131,6 +131,31 @@
     context.rig.run(seconds, names, slow, down)
 
 
+def _tell(context):
+    rig = context.rig
+    holder = rig.leases['a']
+    left = max(holder.held_until() - rig.now, 0)
+    rig.leases['b'].hear_term(
+        holder.fencing, holder.sight.version, left, rig.now
+    )
+
+
+@when('a says what is left of its lease')
+def when_tells(context):
+    _tell(context)
+
+
+@when('a gives up its lease without the store and says so')
+def when_gives_up(context):
+    context.rig.leases['a'].release(context.rig.now)
+    _tell(context)
+
+
+@when('both run for {seconds:g} seconds in all')
+def when_run_in_all(context, seconds):
+    context.rig.run(seconds, ['a', 'b'])
+
+
 @when('{name} sees the fencing number {number:d}')
 def when_sees(context, name, number):
     context.rig.leases[name].observe_fencing(number)
--- /dev/null
+++ b/tests/steps/rotation_steps.py
@@ -0,0 +1,225 @@
+"""Steps for the rotation of models over engines."""
+
+import re
+from collections import Counter
+
+from behave import given, then, when
+
+from cowsliprack.coordination.region_state import finish_order
+from cowsliprack.coordination.rotation import GroupDemand, Rotation
+from cowsliprack.protocol.target import OrderKind
+from cowsliprack.state.engine_state import EngineOrder, EngineState
+from cowsliprack.state.routing_table import EngineSpec, ModelSpec
+from cowsliprack.state.target_registry import TargetRecord, TargetState
+
+_NOW = 1000.0
+_NAMES = ('a', 'b', 'c', 'd', 'e', 'f')
+
+
+def _spec():
+    models = {name: ModelSpec(name, 70, 1, 6.0, 0.6, 0.45) for name in _NAMES}
+    return EngineSpec(32, 80000, 160, 8, 0.6, models)
+
+
+@given('engines with room for two models and models a to f')
+def given_rotation(context):
+    context.rotation = Rotation(_spec())
+    context.groups = []
+    context.now = _NOW
+    context.ordered = []
+
+
+def _add_engine(context, name, held, on_disk=()):
+    record = TargetRecord(
+        target_id=name,
+        service='s',
+        address='127.0.0.1:1',
+        zone='z',
+        slots=32,
+        state=TargetState.ready,
+        on_disk=frozenset((*held, *on_disk)),
+    )
+    engine = EngineState(record, surveyed=True)
+    engine.adapters_by_model = {model: set() for model in held}
+    context.rotation.engines_by_id[name] = engine
+    return engine
+
+
+def _names(text):
+    return [name.strip() for name in text.split(',')]
+
+
+@given('engine {name} holds {held} and has {disk} on disk')
+def given_engine(context, name, held, disk):
+    _add_engine(context, name, _names(held), _names(disk))
+
+
+@given('engine {name:w} holds {held:w}')
+def given_simple_engine(context, name, held):
+    _add_engine(context, name, [held])
+
+
+@given('engine e1 holds a with adapters x1 to x8')
+def given_adapters(context):
+    engine = _add_engine(context, 'e1', ['a'])
+    engine.adapters_by_model['a'] = {f'x{number}' for number in range(1, 9)}
+    for number in range(1, 9):
+        engine.used_at_by_name[f'a/x{number}'] = _NOW - 100 + number
+
+
+@given('adapter x1 of a has just been loaded')
+def given_fresh_adapter(context):
+    engine = context.rotation.engines_by_id['e1']
+    engine.used_at_by_name['a/x1'] = _NOW - 0.05
+
+
+@given('9 empty engines')
+def given_empty(context):
+    for number in range(9):
+        _add_engine(context, f'e{number}', [])
+
+
+def _wait(context, model, adapter='', target_in=1.5, count=1):
+    context.groups.append(
+        GroupDemand(
+            service='s',
+            model=model,
+            adapter=adapter,
+            count=count,
+            target_at=_NOW + target_in,
+            gives_up_at=_NOW + 8,
+            since=_NOW,
+        ),
+    )
+
+
+@given('{count:d} request waits for {name:S}')
+@given('{count:d} requests at different instances wait for {name:S}')
+@when('{count:d} request waits for {name:S}')
+def given_waiting(context, count, name):
+    model, _, adapter = name.partition('/')
+    _wait(context, model, adapter, count=count)
+
+
+@given('1 request waits for each of a to f')
+def given_all_wait(context):
+    for name in _NAMES:
+        _wait(context, name)
+
+
+@given('1 request waits for {name:w} and misses its target in {left:g} seconds')
+def given_urgent(context, name, left):
+    _wait(context, name, target_in=left)
+
+
+@given('1 request waits for {name:w} and has missed its target')
+def given_late(context, name):
+    _wait(context, name, target_in=-1)
+
+
+@given('{engine:w} runs {count:d} request for {model:w}')
+@given('{engine:w} runs {count:d} requests for {model:w}')
+def given_running(context, engine, count, model):
+    context.rotation.engines_by_id[engine].running[model] = count
+
+
+@given('a is asked for often')
+def given_often(context):
+    context.rotation.rates.add('a', 4, _NOW)
+
+
+@given('a has just been loaded')
+def given_fresh(context):
+    context.rotation.engines_by_id['e1'].loaded_at_by_model['a'] = _NOW
+
+
+@given('all have just been loaded')
+def given_all_fresh(context):
+    for engine in context.rotation.engines_by_id.values():
+        for model in engine.adapters_by_model:
+            engine.loaded_at_by_model[model] = _NOW
+
+
+@given('{name:w} has not been surveyed')
+def given_unknown(context, name):
+    context.rotation.engines_by_id[name].surveyed = False
+
+
+@given('{name:w} carries out an order')
+def given_busy(context, name):
+    context.rotation.engines_by_id[name].order = EngineOrder(
+        name,
+        OrderKind.load,
+        'a',
+        'x',
+    )
+
+
+@when('the rotation plans')
+def when_plans(context):
+    context.orders = context.rotation.plan(context.groups, context.now)
+
+
+@when('the rotation plans for 1 second')
+def when_plans_long(context):
+    for _ in range(20):
+        context.now += 0.05
+        context.ordered += context.rotation.plan(context.groups, context.now)
+
+
+@when('the orders have been carried out')
+def when_carried_out(context):
+    for order in context.orders:
+        engine = context.rotation.engines_by_id[order.target_id]
+        finish_order(engine, order, context.now)
+
+
+@when('the requests for a have ended')
+def when_ended(context):
+    for engine in context.rotation.engines_by_id.values():
+        engine.running = Counter(
+            {
+                name: count
+                for name, count in engine.running.items()
+                if name != 'a'
+            }
+        )
+
+
+def _text(orders):
+    return '; '.join(
+        re.sub(
+            r'\s+',
+            ' ',
+            f'{order.target_id} {order.kind.value} {order.model} '
+            f'{order.adapter}',
+        ).strip()
+        for order in orders
+    )
+
+
+@then('the orders are "{expected}"')
+def then_orders(context, expected):
+    assert _text(context.orders) == expected, _text(context.orders)
+
+
+@then('the orders are ""')
+def then_no_orders(context):
+    assert not context.orders, _text(context.orders)
+
+
+@then('nothing more is ordered while that is under way')
+def then_nothing(context):
+    again = context.rotation.plan(context.groups, context.now)
+    assert not again, _text(again)
+
+
+@then('{count:d} loads were ordered')
+def then_count(context, count):
+    assert len(context.ordered) == count, _text(context.ordered)
+
+
+@then('{model:w} is offered by {count:d} engine')
+def then_offered(context, model, count):
+    offering = context.rotation.replicas(model)
+    assert len(offering) == count, [engine.target_id for engine in offering]
--- /dev/null
+++ b/tests/steps/token_credit_steps.py
@@ -0,0 +1,215 @@
+"""Steps for credit of tokens over all instances."""
+
+import random
+from dataclasses import replace
+
+from behave import given, then, when
+
+from cowsliprack.coordination.token_credit import TokenBank, TokenCredit
+from cowsliprack.state.routing_table import OrganisationLimits
+
+_WINDOW = 8.0
+_STEP = 0.01
+
+
+@given('an organisation with {rate:d} tokens a second and a burst of {burst:d}')
+def given_organisation(context, rate, burst):
+    context.organisation = OrganisationLimits(
+        name='o',
+        priority=None,
+        rate=rate,
+        burst=burst,
+        counts_tokens=True,
+        plain_tokens=200,
+    )
+
+
+@given(
+    '{count:d} instances that share a window of 8 seconds and a slack of '
+    '{slack:d} tokens'
+)
+def given_instances(context, count, slack):
+    context.slack = slack
+    context.count = count
+    context.credits = [_credit(context) for _ in range(count)]
+    context.bank = _bank(context, 0)
+    context.admitted = []
+    context.refused = 0
+
+
+def _credit(context):
+    return TokenCredit(context.slack, _WINDOW, context.count)
+
+
+def _bank(context, now):
+    bank = TokenBank(_WINDOW)
+    bank.limit([context.organisation], now)
+    return bank
+
+
+def _send(context, credit, tokens, now, reaches_leader):
+    organisation = context.organisation
+    if not credit.spend(organisation, tokens, now) and reaches_leader:
+        missing = credit.missing(organisation, tokens, now)
+        granted, retry = context.bank.grant('o', missing, now)
+        credit.on_answer(organisation, granted, retry, now)
+        if not credit.spend(organisation, tokens, now):
+            context.refused += 1
+            return
+    elif not reaches_leader:
+        context.refused += 1
+        return
+    context.admitted.append((now, tokens))
+
+
+def _run(context, rate, seconds, fault='', spread='evenly'):
+    source = random.Random(7)
+    now = 0.0
+    due = 0.0
+    while now < seconds:
+        now += _STEP
+        _break(context, fault, now)
+        while due <= now:
+            due += 1 / rate
+            number = source.randrange(context.count)
+            if spread == 'through one instance':
+                number = 0
+            cut = number < {'3 instances are cut off': 3}.get(
+                fault, context.count if fault.startswith('all') else 0
+            )
+            _send_one(context, number, now, not cut)
+
+
+def _send_one(context, number, now, reaches_leader):
+    credit = context.credits[number]
+    if reaches_leader:
+        _send(context, credit, 1000, now, True)
+    elif credit.spend(context.organisation, 1000, now):
+        context.admitted.append((now, 1000))
+    else:
+        context.refused += 1
+
+
+def _break(context, fault, now):
+    tick = round(now / _STEP)
+    if fault.startswith('the leader changes') and tick % 500 == 0:
+        context.bank = _bank(context, now)
+    if fault.startswith('instances restart') and tick % 700 == 0:
+        number = tick // 700 % context.count
+        context.credits[number] = _credit(context)
+
+
+@when(
+    'it sends {rate:d} requests of 1000 tokens a second for {seconds:d} '
+    'seconds while {fault}'
+)
+def when_sends(context, rate, seconds, fault):
+    _run(context, rate, seconds, fault)
+
+
+@when(
+    'it sends {rate:d} requests of 1000 tokens a second for {seconds:d} '
+    'seconds {spread}'
+)
+def when_spread(context, rate, seconds, spread):
+    _run(context, rate, seconds, spread=spread)
+
+
+@when(
+    'it sends {rate:d} requests of 1000 tokens a second and its rate falls to '
+    '{lower:d}'
+)
+def when_lowered(context, rate, lower):
+    _run(context, rate, 10)
+    context.organisation = replace(
+        context.organisation, rate=lower, burst=lower
+    )
+    context.changed_at = 10.0
+    source = random.Random(8)
+    now = 10.0
+    while now < 40:
+        now += 1 / rate
+        context.bank.limit([context.organisation], now)
+        _send(context, source.choice(context.credits), 1000, now, True)
+
+
+def _limit(context):
+    organisation = context.organisation
+    return (
+        organisation.rate * _WINDOW + organisation.burst
+    ) * 1.1 + context.slack
+
+
+def _most(admitted):
+    most = 0
+    total = 0
+    start = 0
+    for at, tokens in admitted:
+        total += tokens
+        while admitted[start][0] <= at - _WINDOW:
+            total -= admitted[start][1]
+            start += 1
+        most = max(most, total)
+    return most
+
+
+@then('no window admits more than its limit')
+def then_limit(context):
+    assert _most(context.admitted) <= _limit(context), (
+        _most(context.admitted),
+        _limit(context),
+    )
+
+
+@then('no window after the change admits more than the new limit')
+def then_new_limit(context):
+    # A lower limit binds one window after it came into force.
+    later = [
+        entry
+        for entry in context.admitted
+        if entry[0] > context.changed_at + _WINDOW
+    ]
+    assert later
+    assert _most(later) <= _limit(context), _most(later)
+
+
+@then('at least {least:d} tokens were admitted')
+def then_admitted(context, least):
+    total = sum(tokens for _, tokens in context.admitted)
+    assert total >= least, total
+
+
+@then('at most 1 in 100 requests was refused')
+def then_few_refused(context):
+    asked = len(context.admitted) + context.refused
+    assert context.refused * 100 <= asked, (context.refused, asked)
+
+
+@given('an instance that has spent all it has')
+def given_spent(context):
+    credit = context.credits[0]
+    while credit.spend(context.organisation, 10, 0.0):
+        continue
+    context.credit = credit
+
+
+@when('a request of {tokens:d} tokens turns out not to have run')
+def when_not_run(context, tokens):
+    context.credit.give_back(context.organisation, tokens, 0.0)
+
+
+@then('a request of {tokens:d} tokens is admitted')
+def then_one_admitted(context, tokens):
+    assert context.credit.spend(context.organisation, tokens, 0.0)
+
+
+@when('the leader has nothing to grant for {seconds:g} seconds')
+def when_denied(context, seconds):
+    context.credit.on_answer(context.organisation, 0, seconds, 0.0)
+
+
+@then('further requests are denied without a message for {seconds:g} seconds')
+def then_denied(context, seconds):
+    credit = context.credit
+    assert credit.is_denied(context.organisation, seconds - 0.01)
+    assert not credit.is_denied(context.organisation, seconds + 0.01)
--- /dev/null
+++ b/tests/support/gateway_world.py
@@ -0,0 +1,316 @@
+"""Gateway processes before stand-ins of the platform, on loopback."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+import anyio
+
+from tools.standins.objects import ObjectPlatform
+from tools.standins.route_engine import RouteEngine
+from tools.standins.web import bind, serve_on
+
+HOST = 'desk.example'
+KEY = 'a-key-of-the-desk'
+MODELS = ('m0', 'm1', 'm2', 'm3')
+_WAIT_SECONDS = 15.0
+
+
+def free_port():
+    """Return a port that is free now."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        return listener.getsockname()[1]
+
+
+def configuration(version=1, keys=(KEY,), rate=100000, prefix='/chat/'):
+    """Return a configuration as the operator writes it."""
+    routes = [
+        _route('chat', prefix, 'stream', 'llm', resumable=True, attempts=2),
+        _route('report', '/report/', 'stream', 'llm', attempts=1),
+        _route('order', '/order/', 'unsafe', 'shop', attempts=1),
+        _route('stock', '/stock/', 'safe', 'shop', attempts=2),
+        _route('open', '/open/', 'safe', 'shop', attempts=2, public=True),
+    ]
+    models = [
+        {
+            'name': name,
+            'weights_size': 70.0,
+            'load_s': 0.2,
+            'adapters': 4,
+            'adapter_mb': 1.0,
+            'warm_s': 0.1,
+            'disk_s': 0.1,
+        }
+        for name in MODELS
+    ]
+    engine = {
+        'slots': 8,
+        'kv_capacity': 10000,
+        'models': models,
+        'weights_size': 160.0,
+        'adapter_slots': 4,
+        'loads_per_s': 20.0,
+    }
+    return {
+        'version': version,
+        'routes': routes,
+        'services': [
+            {'name': 'llm', 'max_conns': 100, 'engine': engine},
+            {'name': 'shop', 'max_conns': 100},
+        ],
+        'limits': {'max_body_bytes': 100000, 'idle_timeout_ms': 15000},
+        'tenants': [
+            {
+                'name': 'desk',
+                'api_keys': list(keys),
+                'priority': 1,
+                'unit': 'tokens',
+                'plain_tokens': 100,
+                'rate_per_s': rate,
+                'burst': rate,
+            },
+        ],
+    }
+
+
+def _route(name, prefix, kind, service, attempts, **more):
+    return {
+        'name': name,
+        'host': HOST,
+        'path_prefix': prefix,
+        'kind': kind,
+        'timeout_ms': 8000,
+        'goal_ms': 1000,
+        'priority': 1,
+        'service': service,
+        'max_attempts': attempts,
+        'gap_aim_ms': 500,
+        **more,
+    }
+
+
+class GatewayWorld:
+    """Store, engines and services in a thread; gateways as processes."""
+
+    def __init__(self):
+        self.platform = ObjectPlatform()
+        self.engines = {}
+        self.processes = {}
+        self.ports = {}
+        self._folder = tempfile.TemporaryDirectory()
+        self._started = threading.Event()
+        self._loop = None
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+        assert self._started.wait(10)
+
+    def _run(self):
+        anyio.run(self._serve)
+
+    async def _serve(self):
+        self._loop = asyncio.get_running_loop()
+        async with anyio.create_task_group() as tasks:
+            listener = bind()
+            self.store_port = listener.getsockname()[1]
+            self._stopped = anyio.Event()
+            tasks.start_soon(
+                serve_on, listener, self.platform.handle, self._stopped.wait
+            )
+            for name, service, places in (
+                ('e1', 'llm', 2),
+                ('e2', 'llm', 2),
+                ('s1', 'shop', 0),
+                ('s2', 'shop', 0),
+            ):
+                listener = bind()
+                port = listener.getsockname()[1]
+                engine = RouteEngine(
+                    target_id=name,
+                    service=service,
+                    address=f'127.0.0.1:{port}',
+                    zone='zone-a',
+                    platform=self.platform,
+                    tasks=tasks,
+                    places=places,
+                )
+                self.engines[name] = engine
+                tasks.start_soon(
+                    serve_on, listener, engine.handle, self._stopped.wait
+                )
+            self.engines['e1'].models = {'m0': set(), 'm1': set()}
+            self.engines['e2'].models = {'m0': set()}
+            for name in ('e1', 'e2'):
+                self.engines[name].on_disk = set(MODELS)
+            for engine in self.engines.values():
+                engine.register()
+            self.platform.put('config', 'main', configuration())
+            self._started.set()
+            await self._stopped.wait()
+            await anyio.sleep(0.2)
+            tasks.cancel_scope.cancel()
+
+    def call(self, function, *arguments):
+        """Run a function in the thread of the stand-ins."""
+        done = threading.Event()
+        results = []
+
+        def run():
+            results.append(function(*arguments))
+            done.set()
+
+        self._loop.call_soon_threadsafe(run)
+        assert done.wait(5)
+        return results[0]
+
+    def configure(self, **changes):
+        """Have the operator write a configuration."""
+        document = configuration(**changes)
+        self.call(self.platform.put, 'config', 'main', document)
+
+    def start(self, name):
+        """Start a gateway process and wait until it is ready."""
+        self.launch(name)
+        self.wait_ready(name)
+
+    def launch(self, name):
+        """Start a gateway process."""
+        if name not in self.ports:
+            self.ports[name] = {
+                part: free_port()
+                for part in ('front', 'ready', 'peer', 'metrics')
+            }
+        ports = self.ports[name]
+        settings = Path(self._folder.name) / f'{name}.conf'
+        settings.write_text(
+            f'node={name}\nzone=zone-a\nregion=region\nip=127.0.0.1\n'
+            f'listen.front=127.0.0.1:{ports["front"]}\n'
+            f'listen.ready=127.0.0.1:{ports["ready"]}\n'
+            f'internal_ports={ports["peer"]},{ports["metrics"]}\n'
+            f'platform.addr=127.0.0.1:{self.store_port}\n'
+            'bounds.lease_ms=1500\nbounds.grace_s=6\nbounds.revoke_ms=3000\n'
+            'bounds.quota_slack=2000\nbounds.budget_slack=50\n'
+            'a line that is no setting\nunknown.field=7\n',
+        )
+        self.log_path = Path(self._folder.name) / f'{name}.log'
+        with open(self.log_path, 'ab') as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, '-m', 'cowsliprack', 'platform'],
+                env={
+                    **os.environ,
+                    'COWSLIPRACK_SETTINGS': str(settings),
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def log(self, name):
+        """Return the log of a gateway."""
+        return (Path(self._folder.name) / f'{name}.log').read_text()
+
+    def wait_ready(self, name):
+        """Wait until a gateway says that it is ready."""
+        end = time.monotonic() + _WAIT_SECONDS
+        while time.monotonic() < end:
+            if self.is_ready(name):
+                return
+            time.sleep(0.05)
+        raise AssertionError(f'{name} is not ready:\n{self.log(name)[-3000:]}')
+
+    def is_ready(self, name):
+        """Return whether a gateway says that it is ready."""
+        try:
+            status, _, _ = request(
+                self.ports[name]['ready'],
+                'GET',
+                '/-/readyz',
+                timeout=1,
+            )
+        except OSError:
+            return False
+        return status == 200
+
+    def signal(self, name, number):
+        """Send a signal to a gateway."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        """Kill a gateway."""
+        self.signal(name, signal.SIGKILL)
+        self.processes[name].wait()
+
+    def close(self):
+        """End every process and the stand-ins."""
+        for process in self.processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        self._loop.call_soon_threadsafe(self._stopped.set)
+        self._thread.join(5)
+        self._folder.cleanup()
+
+
+def request(port, method, path, headers=(), body=b'', timeout=12):
+    """Send one request on a connection of its own.
+
+    :returns: status, headers by lower-case name, and the body; an answer that
+        ends early raises ``ConnectionError``.
+    """
+    with socket.create_connection(('127.0.0.1', port), timeout) as connection:
+        connection.settimeout(timeout)
+        send(connection, method, path, headers, body)
+        return read_answer(connection)
+
+
+def send(connection, method, path, headers=(), body=b''):
+    """Write a request."""
+    lines = [f'{method} {path} HTTP/1.1', f'Host: {HOST}']
+    lines += [f'{name}: {text}' for name, text in headers]
+    if body:
+        lines.append(f'Content-Length: {len(body)}')
+    connection.sendall('\r\n'.join([*lines, '', '']).encode() + body)
+
+
+def read_answer(connection):
+    """Read one answer."""
+    received = b''
+    while b'\r\n\r\n' not in received:
+        received += _receive(connection)
+    head, _, rest = received.partition(b'\r\n\r\n')
+    lines = head.decode().split('\r\n')
+    status = int(lines[0].split(' ')[1])
+    headers = {}
+    for line in lines[1:]:
+        name, _, text = line.partition(':')
+        headers[name.lower()] = text.strip()
+    if 'content-length' in headers:
+        while len(rest) < int(headers['content-length']):
+            rest += _receive(connection)
+        return status, headers, rest
+    body = b''
+    while True:
+        while b'\r\n' not in rest:
+            rest += _receive(connection)
+        size, _, rest = rest.partition(b'\r\n')
+        length = int(size, 16)
+        while len(rest) < length + 2:
+            rest += _receive(connection)
+        body += rest[:length]
+        rest = rest[length + 2 :]
+        if not length:
+            return status, headers, body
+
+
+def _receive(connection):
+    received = connection.recv(65536)
+    if not received:
+        raise ConnectionError('the answer ended early')
+    return received
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -8,10 +8,11 @@
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any
 
 _KNOWN_RED = Path('KNOWN-RED.txt')
 _PATTERN = '*.feature'
@@ -24,11 +25,13 @@
     """What one run of behave reported.
 
     :param statuses: name and status of each scenario.
+    :param failures: steps that failed, with their tracebacks.
     """
 
     arguments: list[str]
     exit_code: int
     statuses: tuple[tuple[str, str], ...]
+    failures: tuple[str, ...] = ()
 
     def is_broken(self) -> bool:
         """Return whether the run failed without a failed scenario."""
@@ -61,6 +64,17 @@
                 yield element['name'], element['status']
 
 
+def read_failures(report: Path) -> Iterator[str]:
+    """Yield each failed step of a behave report with its traceback.
+
+    :param report: file written by behave's JSON formatter.
+    """
+    for feature in json.loads(report.read_text() or '[]'):
+        for element in feature.get('elements', ()):
+            for step in element.get('steps', ()):
+                yield from _describe_failure(element['name'], step)
+
+
 def main(arguments: list[str]) -> int:
     """Run the features and return the exit code of the run.
 
@@ -113,15 +127,30 @@
             check=False,
         )
         statuses = tuple(read_scenarios(report)) if report.exists() else ()
-    run = Run(arguments, completed.returncode, statuses)
+        failures = tuple(read_failures(report)) if report.exists() else ()
+    run = Run(arguments, completed.returncode, statuses, failures)
     failed = completed.returncode != 0
     print(completed.stdout if failed else _first_line(completed.stdout))
     if failed:
         print(completed.stderr)
+        print('\n'.join(failures))
     sys.stdout.flush()
     return run
 
 
+def _describe_failure(
+    scenario: str,
+    step: Mapping[str, Any],
+) -> Iterator[str]:
+    outcome = step.get('result', {})
+    if outcome.get('status') not in {'failed', 'error', 'undefined'}:
+        return
+    message = outcome.get('error_message', '')
+    if not isinstance(message, str):
+        message = '\n'.join(message)
+    yield f'{scenario}: {step["name"]}: {outcome["status"]}\n{message}'
+
+
 def _first_line(output: str) -> str:
     lines = [line for line in output.splitlines() if line.startswith('tests')]
     return '\n'.join(lines)
--- a/tools/standins/web.py
+++ b/tools/standins/web.py
@@ -117,21 +117,44 @@
     :param host: IP address.
     :param port: 0 lets the system choose.
     """
-    listener = socket.create_server((host, port), backlog=256)
-    config = Config()
-    config.bind = [f'fd://{listener.fileno()}']
-    config.graceful_timeout = 0
-    config.keep_alive_timeout = 3600
-    config.errorlog = None
+    listener = bind(host, port)
     address, bound_port = listener.getsockname()
     print(f'listening {address}:{bound_port}', flush=True)
-    await serve(_as_asgi(handler), config, shutdown_trigger=_forever)
+    await serve_on(listener, handler)
+
+
+def bind(host: str = '127.0.0.1', port: int = 0) -> socket.socket:
+    """Return a listening socket.
+
+    :param host: IP address.
+    :param port: 0 lets the system choose.
+    """
+    return socket.create_server((host, port), backlog=256)
 
 
 async def _forever() -> None:
     await anyio.sleep_forever()
 
 
+async def serve_on(
+    listener: socket.socket,
+    handler: Handler,
+    stopped: Callable[[], Awaitable[object]] = _forever,
+) -> None:
+    """Serve until stopped.
+
+    :param listener: see :func:`bind`.
+    :param handler: called for each request.
+    :param stopped: returns when the server shall end.
+    """
+    config = Config()
+    config.bind = [f'fd://{listener.fileno()}']
+    config.graceful_timeout = 0
+    config.keep_alive_timeout = 3600
+    config.errorlog = None
+    await serve(_as_asgi(handler), config, shutdown_trigger=stopped)
+
+
 def _as_asgi(handler: Handler) -> Any:
     async def application(  # noqa: WPS430
         scope: dict[str, Any],
