Relay the leader's readings of the store; leave silent targets

A member takes the proof that its configuration is the latest from the leader, counted from the moment of its own report, and reads the store itself when that is older than 2.8 s.

--- a/cowsliprack/coordination/lease.py
+++ b/cowsliprack/coordination/lease.py
@@ -164,11 +164,13 @@
             self._step_down()
         if self._released or self._pending is not None or now < self._next_at:
             return None
-        session = self._self.session
         due = now >= self.sight.read_due(now)
         if not self._must_read and self._deadline is not None:
             return self._write(self.fencing, now)
-        if not self._must_read and self.sight.may_acquire(session, now):
+        if not self._must_read and self.sight.may_acquire(
+            self._self.instance_id,
+            now,
+        ):
             return self._acquire(now)
         if self._must_read or due:
             self._pending = ReadLease(self.key)
--- a/cowsliprack/coordination/lease_record.py
+++ b/cowsliprack/coordination/lease_record.py
@@ -193,16 +193,17 @@
         """
         return max(self.highest_fencing, self.version or 0) + 1
 
-    def may_acquire(self, session: str, now: float) -> bool:
+    def may_acquire(self, instance_id: str, now: float) -> bool:
         """Return whether the record is free or has not changed for long.
 
-        :param session: of this process; its own record needs no waiting.
+        :param instance_id: of this instance; a record of its own needs no
+            waiting, since an earlier process of an instance has ended.
         :param now: own clock, seconds.
         """
         if self.record is None:
             return False
         fresh = now - self._read_at < self._interval()
-        if self.record.session == session or not self.record.holder:
+        if self.record.holder in {instance_id, ''}:
             return fresh
         if self.version == self._told_version:
             # The object has not been written since, so the holder has
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from cowsliprack.coordination.rotation import GroupDemand, Rotation
+from cowsliprack.coordination.target_choice import SILENCE_SECONDS
 from cowsliprack.protocol.engine import EngineSurvey
 from cowsliprack.protocol.gateway_messages import (
     EngineView,
@@ -30,13 +31,12 @@
     """An instance that reports to this leader.
 
     :param seen_at: time of its last report, seconds.
-    :param sent_sequence: of the last view sent to it.
+    :param stamp: of the last report that was not answered yet; 0 for none.
     """
 
     report: MemberReport
     seen_at: float
     stamp: float = 0
-    sent_at: float = 0
 
 
 @dataclass(slots=True)
@@ -186,7 +186,6 @@
         base = report.view_sequence if is_mine else 0
         stamp = member.stamp
         member.stamp = 0
-        member.sent_at = now
         return LeaderView(
             fencing=self.fencing,
             sequence=self.sequence,
@@ -233,8 +232,14 @@
 
     def _count_running(self, now: float) -> None:
         counts: dict[str, Counter[str]] = {}
+        # An engine that one instance hears is only cut off from the others.
+        silences: dict[str, float] = {}
         for member in self._live(now):
             for use in member.report.engines:
+                silences[use.target_id] = min(
+                    silences.get(use.target_id, use.silence),
+                    use.silence,
+                )
                 counts.setdefault(use.target_id, Counter()).update(
                     use.running_by_name,
                 )
@@ -242,6 +247,10 @@
             for engine in rotation.engines_by_id.values():
                 running = counts.get(engine.target_id, Counter())
                 engine.running = running
+                if engine.order is None:
+                    engine.silent = silences.get(engine.target_id, 0) > (
+                        SILENCE_SECONDS
+                    )
                 for name in running:
                     engine.used_at_by_name[name] = now
 
--- a/cowsliprack/coordination/target_choice.py
+++ b/cowsliprack/coordination/target_choice.py
@@ -22,6 +22,9 @@
 _LONGEST_AVOIDANCE = 4.0
 # Load that a target counts as carrying while it is avoided, in requests.
 _AVOIDED_LOAD = 1000.0
+# Seconds without a byte of any answer after which a target with requests
+# under way is avoided; events of streams come many times a second.
+SILENCE_SECONDS = 1.0
 # Part by which one answer changes the average time of a target.
 _SMOOTHING = 0.2
 # A target counts as slow above this multiple of the median of its service.
@@ -36,11 +39,14 @@
 class TargetHealth:
     """What the answers of one target have shown.
 
+    :param silent_since: since when requests are under way without a byte of
+        an answer; ``None`` while there are none.
     :param failures: in a row.
     :param avoided_until: seconds.
     :param seconds: average time to the first byte; 0 before any.
     """
 
+    silent_since: float | None = None
     failures: int = 0
     avoided_until: float = 0
     seconds: float = 0
@@ -97,14 +103,24 @@
             self._remember(prompt, best.target_id)
         return best
 
-    def start(self, target_id: str, model: str, adapter: str) -> None:
+    def start(
+        self,
+        target_id: str,
+        model: str,
+        adapter: str,
+        now: float,
+    ) -> None:
         """Count a request that is about to be sent.
 
         :param target_id: where to.
         :param model: empty for a plain service.
         :param adapter: empty for the model itself.
+        :param now: seconds.
         """
         self.own_by_id[target_id] += 1
+        health = self.health_by_id.setdefault(target_id, TargetHealth())
+        if health.silent_since is None:
+            health.silent_since = now
         self._count(target_id, model, adapter, 1)
         if model:
             self.started_by_model[model] += 1
@@ -118,14 +134,42 @@
         """
         self.own_by_id[target_id] -= 1
         self._count(target_id, model, adapter, -1)
+        health = self.health_by_id.get(target_id)
+        if health is not None and not self.own_by_id[target_id]:
+            health.silent_since = None
+
+    def hear(self, target_id: str, now: float) -> None:
+        """Note that bytes of an answer have come.
+
+        :param target_id: that sent them.
+        :param now: seconds.
+        """
+        health = self.health_by_id.get(target_id)
+        if health is not None and health.silent_since is not None:
+            health.silent_since = now
+
+    def silence(self, target_id: str, now: float) -> float:
+        """Return for how many seconds a target has owed an answer.
+
+        :param target_id: of the target.
+        :param now: seconds.
+        """
+        health = self.health_by_id.get(target_id)
+        if health is None or health.silent_since is None:
+            return 0
+        return now - health.silent_since
+
+    def engine_uses(self, now: float) -> tuple[EngineUse, ...]:
+        """Return the requests of this instance under way, by engine.
 
-    def engine_uses(self) -> tuple[EngineUse, ...]:
-        """Return the requests of this instance under way, by engine."""
+        :param now: seconds.
+        """
         return tuple(
             EngineUse(
                 target_id,
                 self.own_by_id[target_id],
                 {name: number for name, number in counts.items() if number},
+                self.silence(target_id, now),
             )
             for target_id, counts in self._names_by_id.items()
             if self.own_by_id[target_id]
@@ -224,7 +268,8 @@
             return load
         if typical and health.seconds > typical * _SLOW_FACTOR:
             load = (load + 1) * health.seconds / typical
-        if now < health.avoided_until:
+        is_silent = self.silence(record.target_id, now) > SILENCE_SECONDS
+        if is_silent or now < health.avoided_until:
             load += _AVOIDED_LOAD
         return load
 
--- a/cowsliprack/platform/engine_calls.py
+++ b/cowsliprack/platform/engine_calls.py
@@ -19,7 +19,7 @@
 
 # An engine accepts or refuses an order in milliseconds; without an answer
 # by then the order is in doubt, seconds.
-_ORDER_SECONDS = 0.8
+_ORDER_SECONDS = 0.3
 _REPORT_SECONDS = 0.8
 _OK = 200
 _ANSWER_BY_STATUS = MappingProxyType(
--- a/cowsliprack/platform/run.py
+++ b/cowsliprack/platform/run.py
@@ -22,7 +22,7 @@
 from cowsliprack.protocol.store import ObjectStore
 from cowsliprack.state.gateway_settings import GatewaySettings
 from cowsliprack.transport.clock import read_clock
-from cowsliprack.transport.gateway import run_gateway
+from cowsliprack.transport.gateway_run import run_gateway
 
 # Object that holds the secret by which instances know each other.
 _SECRET_KEY = 'cowsliprack-fleet/secret'  # noqa: S105
@@ -31,7 +31,7 @@
 _RETRY_SECONDS = 0.2
 # Seconds after which a watch comes back; the configuration must be known to
 # be the latest at all times, the list of targets only when it changes.
-_CONFIGURATION_WAIT = 1.2
+_CONFIGURATION_WAIT = 0.9
 _TARGETS_WAIT = 2.5
 
 
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -30,11 +30,13 @@
     """Requests that one instance has under way on an engine.
 
     :param running_by_name: by model, and by ``model/adapter``.
+    :param silence: seconds for which the engine has owed an answer.
     """
 
     target_id: str
     running: int
     running_by_name: dict[str, int]
+    silence: float = 0
 
 
 class MemberReport(PeerMessage, frozen=True):
@@ -45,6 +47,8 @@
     :param stamp: clock of the sender when it sent this; returned in the view.
     :param view_sequence: of the last view that the sender has applied.
     :param view_fencing: of the leader that sent it.
+    :param generation: of the configuration in force at the sender.
+    :param registry_revision: of the sender's list of targets.
     :param started_by_model: requests for each model since the start.
     """
 
@@ -58,6 +62,8 @@
     view_fencing: int
     waiting: tuple[WaitingGroup, ...] = ()
     engines: tuple[EngineUse, ...] = ()
+    generation: int = 0
+    registry_revision: int = -1
     started_by_model: dict[str, int] = {}
     leaving: bool = False
 
@@ -78,6 +84,31 @@
     running: int
 
 
+class TargetView(msgspec.Struct, frozen=True, array_like=True):
+    """A registered target, as the leader has read it.
+
+    :param state: ``ready`` or ``draining``.
+    :param born: start of its process, milliseconds since the epoch.
+    """
+
+    target_id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    born: int
+
+
+class ConfigurationCopy(PeerMessage, frozen=True):
+    """The configuration in force, for an instance with an older one.
+
+    :param spec: JSON, as the platform's store holds it.
+    """
+
+    spec: bytes
+
+
 class LeaderView(PeerMessage, frozen=True):
     """State of a leader, for one instance.
 
@@ -88,6 +119,13 @@
     :param engines: changed since ``base``.
     :param gone: ids of engines that left since ``base``.
     :param members: instances that reported lately.
+    :param generation: of the configuration in force at the leader.
+    :param proof_offset: seconds from ``stamp`` to the moment at which the
+        leader's configuration is known to have been the latest; negative for
+        an earlier moment, ``None`` without a stamp.
+    :param registry_revision: of the leader's list of targets.
+    :param targets: registered or changed since the member's revision.
+    :param targets_gone: ids of those that left since.
     :param lease_version: of the lease object as the leader last wrote it.
     :param lease_left: seconds for which the leader goes on without renewing
         its lease; 0 when it has stopped leading.
@@ -105,6 +143,11 @@
     gone: tuple[str, ...] = ()
     members: int = 1
     refused: tuple[tuple[str, str, str, float], ...] = ()
+    generation: int = 0
+    proof_offset: float | None = None
+    registry_revision: int = -1
+    targets: tuple[TargetView, ...] = ()
+    targets_gone: tuple[str, ...] = ()
     lease_version: int | None = None
     lease_left: float = 0
 
@@ -132,3 +175,8 @@
     organisation: str
     tokens: float
     retry_after: float = 0
+
+
+GatewayMessage = (
+    MemberReport | LeaderView | CreditAsk | CreditAnswer | ConfigurationCopy
+)
--- a/cowsliprack/protocol/peer.py
+++ b/cowsliprack/protocol/peer.py
@@ -2,12 +2,7 @@
 
 import msgspec
 
-from cowsliprack.protocol.gateway_messages import (
-    CreditAnswer,
-    CreditAsk,
-    LeaderView,
-    MemberReport,
-)
+from cowsliprack.protocol.gateway_messages import GatewayMessage
 from cowsliprack.protocol.peer_message import PeerMessage
 
 # Seconds; stands for an age that is not known.
@@ -275,10 +270,7 @@
     | ConfigurationShards
     | PoisonNotice
     | TargetLeaving
-    | MemberReport
-    | LeaderView
-    | CreditAsk
-    | CreditAnswer
+    | GatewayMessage
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/cowsliprack/state/engine_state.py
+++ b/cowsliprack/state/engine_state.py
@@ -30,6 +30,7 @@
     :param surveyed: the leader has read the engine's report since it took
         over; before that nothing is ordered.
     :param surveying: that report is being asked for.
+    :param silent: it answers neither requests nor orders at present.
     :param order_count: orders that the engine has accepted.
     :param order: under way; the engine carries out one at a time.
     :param tries: how often the order was sent.
@@ -46,6 +47,7 @@
     adapters_by_model: dict[str, set[str]] = field(default_factory=dict)
     surveyed: bool = False
     surveying: bool = False
+    silent: bool = False
     order_count: int = 0
     order: EngineOrder | None = None
     tries: int = 0
@@ -63,7 +65,8 @@
 
     def is_usable(self) -> bool:
         """Return whether the engine takes requests and orders."""
-        return self.surveyed and self.record.state is TargetState.ready
+        is_ready = self.record.state is TargetState.ready
+        return self.surveyed and is_ready and not self.silent
 
     def offers(self, model: str) -> bool:
         """Return whether requests for a model may be sent here.
--- a/cowsliprack/state/target_registry.py
+++ b/cowsliprack/state/target_registry.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 
 @enum.unique
@@ -51,17 +51,33 @@
     on_disk: frozenset[str] = frozenset()
     busy: bool = False
 
+    def routing_facts(self) -> 'TargetRecord':
+        """Return what the routing of requests sees of a target."""
+        return replace(
+            self,
+            order_count=0,
+            holdings_by_model={},
+            in_memory=frozenset(),
+            on_disk=frozenset(),
+            busy=False,
+        )
+
 
 @dataclass(slots=True)
 class TargetRegistry:
     """Targets as last read; older readings never replace newer ones.
 
     :param revision: of the reading.
+    :param changed_by_id: revision at which a target became what routing sees
+        of it; what an engine holds does not count.
+    :param gone_by_id: revision at which a target left.
     """
 
     revision: int = -1
     records_by_id: dict[str, TargetRecord] = field(default_factory=dict)
     ids_by_service: dict[str, set[str]] = field(default_factory=dict)
+    changed_by_id: dict[str, int] = field(default_factory=dict)
+    gone_by_id: dict[str, int] = field(default_factory=dict)
 
     def replace(
         self,
@@ -76,8 +92,9 @@
         if revision < self.revision:
             return False
         self.revision = revision
-        self.records_by_id = {}
-        self.ids_by_service = {}
+        listed = {record.target_id for record in records}
+        for target_id in set(self.records_by_id) - listed:
+            self._remove(target_id)
         for record in records:
             self._put(record)
         return True
@@ -98,12 +115,31 @@
             return False
         self.revision = revision
         for target_id in removed:
-            self._drop(target_id)
+            self._remove(target_id)
         for record in changed:
-            self._drop(record.target_id)
             self._put(record)
         return True
 
+    def changes_since(
+        self,
+        revision: int,
+    ) -> tuple[list[TargetRecord], list[str]]:
+        """Return targets that routing sees differently, and those that left.
+
+        :param revision: of an earlier reading.
+        """
+        changed = [
+            self.records_by_id[target_id]
+            for target_id, changed_at in self.changed_by_id.items()
+            if changed_at > revision
+        ]
+        gone = [
+            target_id
+            for target_id, gone_at in self.gone_by_id.items()
+            if gone_at > revision
+        ]
+        return changed, gone
+
     def ready_targets(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that take requests.
 
@@ -126,10 +162,20 @@
         ]
 
     def _put(self, record: TargetRecord) -> None:
-        self.records_by_id[record.target_id] = record
-        self.ids_by_service.setdefault(record.service, set()).add(
-            record.target_id,
-        )
+        target_id = record.target_id
+        known = self.records_by_id.get(target_id)
+        if known is None or known.routing_facts() != record.routing_facts():
+            self.changed_by_id[target_id] = self.revision
+        self._drop(target_id)
+        self.gone_by_id.pop(target_id, None)
+        self.records_by_id[target_id] = record
+        self.ids_by_service.setdefault(record.service, set()).add(target_id)
+
+    def _remove(self, target_id: str) -> None:
+        if target_id in self.records_by_id:
+            self._drop(target_id)
+            self.changed_by_id.pop(target_id, None)
+            self.gone_by_id[target_id] = self.revision
 
     def _drop(self, target_id: str) -> None:
         record = self.records_by_id.pop(target_id, None)
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -1,50 +1,47 @@
 """Starts the tasks of a gateway instance and stops them in order."""
 
-import signal
 import uuid
-from collections.abc import Callable
-from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
 import httpx
+import msgspec
 import structlog
-from hypercorn.asyncio import serve as serve_http
-from hypercorn.config import Config
 
 from cowsliprack.coordination.fleet_view import FleetView
 from cowsliprack.coordination.freshness import Freshness
+from cowsliprack.coordination.relayed_targets import relayed_record
 from cowsliprack.coordination.retry import RetryBudget
 from cowsliprack.coordination.target_choice import TargetChoice
 from cowsliprack.coordination.token_credit import TokenCredit
 from cowsliprack.coordination.waiting_room import WaitingRoom
 from cowsliprack.exceptions import ConfigurationError
 from cowsliprack.metrics import Metrics
+from cowsliprack.protocol.gateway_messages import LeaderView
 from cowsliprack.protocol.platform_parts import PlatformParts
 from cowsliprack.state.gateway_settings import GatewaySettings
 from cowsliprack.state.routing_table import RoutingTable
-from cowsliprack.transport.checked_transport import CheckedTransport
 from cowsliprack.transport.clock import read_clock
+from cowsliprack.transport.http_listener import (
+    CLOSE_SECONDS,
+    serve_addresses,
+)
 from cowsliprack.transport.peer_sockets import PeerSockets
 from cowsliprack.transport.region import Region
 from cowsliprack.transport.region_term import RegionNeeds
 from cowsliprack.transport.responses import Exchange, Receive, Send
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.route_server import RouteServer
+from cowsliprack.transport.signals import wait_for_stop
 from cowsliprack.transport.store_reader import KindReader, KindReading
 
-_BACKLOG = 1024
-_MAX_HEADER_BYTES = 65_536
-# Longer than any idle time that a configuration lets callers use, seconds.
-_KEEP_ALIVE_SECONDS = 90
-_MOST_REQUESTS_PER_CONNECTION = 1_000_000
-# Time in which connections are closed after the last request, seconds.
-_CLOSE_SECONDS = 0.5
 # After SIGTERM the balancer needs this long to stop sending connections.
 _UNREADY_SECONDS = 2.5
 # Kept of the time between SIGTERM and SIGKILL, seconds.
 _GRACE_MARGIN_SECONDS = 1.2
+# Seconds for which changes of targets are gathered into one call.
+_GATHER_SECONDS = 0.2
 # Instances that share a budget of repeats; part of the budget that is used.
 _ASSUMED_INSTANCES = 8
 _BUDGET_SHARE = 0.6
@@ -69,6 +66,7 @@
     draining: bool = False
     fleet: FleetView = field(default_factory=FleetView)
     room: WaitingRoom = field(default_factory=WaitingRoom)
+    _configuration_copy: bytes = b''
     freshness: Freshness = field(init=False)
     region: Region = field(init=False)
     server: RouteServer = field(init=False)
@@ -97,7 +95,11 @@
                 choice=choice,
                 room=self.room,
                 credit=credit,
+                freshness=self.freshness,
                 table=self.current_table,
+                configuration_copy=self._copy_configuration,
+                take_configuration=self._take_configuration_copy,
+                take_targets=self._take_relayed_targets,
                 clock=read_clock,
             ),
         )
@@ -148,6 +150,7 @@
                     parts.configuration_kind,
                     parts.configuration_wait,
                     self._take_configuration,
+                    self.region.is_reading,
                 ).run,
             )
             tasks.start_soon(
@@ -156,6 +159,8 @@
                     parts.targets_kind,
                     parts.targets_wait,
                     self._take_targets,
+                    self.region.is_reading,
+                    _GATHER_SECONDS,
                 ).run,
             )
             tasks.start_soon(self.region.run)
@@ -167,10 +172,10 @@
                 front=self.settings.front_address,
                 peers=self.sockets.address,
             )
-            await _wait_for_stop()
+            await wait_for_stop()
             await self._drain()
             stopped.set()
-            await anyio.sleep(_CLOSE_SECONDS)
+            await anyio.sleep(CLOSE_SECONDS)
             tasks.cancel_scope.cancel()
         _log.info('stopped', instance_id=self.settings.instance_id)
 
@@ -190,21 +195,13 @@
         _log.info('drained', requests=self.server.open_requests)
 
     async def _serve_http(self, stopped: anyio.Event) -> None:
-        config = Config()
         settings = self.settings
-        config.bind = [
+        addresses = [
             settings.front_address,
             settings.ready_address,
             settings.metrics_address,
         ]
-        config.errorlog = None
-        config.backlog = _BACKLOG
-        config.graceful_timeout = _CLOSE_SECONDS
-        config.keep_alive_timeout = _KEEP_ALIVE_SECONDS
-        config.keep_alive_max_requests = _MOST_REQUESTS_PER_CONNECTION
-        config.h11_max_incomplete_size = _MAX_HEADER_BYTES
-        config.include_server_header = False
-        await serve_http(self._handle, config, shutdown_trigger=stopped.wait)
+        await serve_addresses(self._handle, addresses, stopped)
 
     async def _handle(
         self,
@@ -212,11 +209,6 @@
         receive: Receive,
         send: Send,
     ) -> None:
-        if scope['type'] == 'lifespan':
-            await _serve_lifespan(receive, send)
-            return
-        if scope['type'] != 'http':
-            return
         host, port = scope['server']
         address = f'{host}:{port}'
         if address == self.settings.front_address:
@@ -239,10 +231,18 @@
         await exchange.answer(text, content_type)
 
     def _take_configuration(self, reading: KindReading, whole: bool) -> None:
-        self.freshness.prove(reading.asked_at)
         spec = reading.specs_by_name.get(self.parts.configuration_name)
-        if spec is None:
-            return
+        if spec is not None:
+            self._use_configuration(spec, reading.revision)
+        self.freshness.prove(reading.asked_at)
+
+    def _take_configuration_copy(self, copy: bytes) -> None:
+        self._use_configuration(msgspec.json.decode(copy), None)
+
+    def _copy_configuration(self) -> bytes:
+        return self._configuration_copy
+
+    def _use_configuration(self, spec: Any, revision: int | None) -> None:
         try:
             table = self.parts.decode_table(spec)
         except ConfigurationError as error:
@@ -251,10 +251,12 @@
         if table.generation <= self.table.generation:
             return
         self.table = table
+        self._configuration_copy = msgspec.json.encode(spec)
         _log.info(
             'configuration_in_force',
             generation=table.generation,
-            revision=reading.revision,
+            revision=revision,
+            source='leader' if revision is None else 'store',
             limits={
                 name: (organisation.rate, organisation.burst)
                 for name, organisation in table.organisations_by_name.items()
@@ -263,6 +265,27 @@
         self.region.configuration_changed()
         self.room.wake()
 
+    def _take_relayed_targets(self, view: LeaderView) -> None:
+        registry = self.fleet.registry
+        if not registry.apply(
+            [relayed_record(target) for target in view.targets],
+            list(view.targets_gone),
+            view.registry_revision,
+        ):
+            return
+        if view.targets or view.targets_gone:
+            _log.info(
+                'targets',
+                revision=view.registry_revision,
+                source='leader',
+                changed=[
+                    f'{target.target_id} {target.state}'
+                    for target in view.targets[:20]
+                ],
+                removed=view.targets_gone[:20],
+            )
+            self.region.registry_changed()
+
     def _take_targets(self, reading: KindReading, whole: bool) -> None:
         changed = []
         removed = []
@@ -290,30 +313,6 @@
             self.region.registry_changed()
 
 
-async def run_gateway(
-    settings: GatewaySettings,
-    make_parts: Callable[[GatewaySettings, httpx.AsyncClient], PlatformParts],
-) -> None:
-    """Run one gateway instance until SIGTERM or SIGINT.
-
-    :param settings: of the instance.
-    :param make_parts: what speaks the platform's protocols.
-    """
-    client = httpx.AsyncClient(transport=CheckedTransport(), trust_env=False)
-    parts = make_parts(settings, client)
-    secret = await parts.fleet_secret(parts.store)
-    async with AsyncExitStack() as stack:
-        stack.push_async_callback(client.aclose)
-        sockets = PeerSockets(
-            settings.instance_id,
-            settings.peer_host,
-            settings.peer_port,
-            secret,
-        )
-        await stack.enter_async_context(sockets)
-        await Gateway(settings, parts, client, sockets).run()
-
-
 def _retry_budget(settings: GatewaySettings) -> RetryBudget:
     slack = settings.retry_slack * _BUDGET_SHARE / _ASSUMED_INSTANCES
     return RetryBudget(
@@ -334,22 +333,3 @@
         receive=receive,
         send=send,
     )
-
-
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
-    phase = ''
-    while phase != 'lifespan.shutdown':
-        phase = (await receive())['type']
-        await send({'type': f'{phase}.complete'})
-
-
-async def _wait_for_stop() -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM,
-        signal.SIGINT,
-        signal.SIGHUP,
-    ) as received:
-        async for number in received:
-            _log.info('signal_received', signal=signal.Signals(number).name)
-            if number != signal.SIGHUP:
-                return
--- a/cowsliprack/transport/order_desk.py
+++ b/cowsliprack/transport/order_desk.py
@@ -155,7 +155,8 @@
         """Return the fate of an order, or ``None`` to send it again."""
         if answer is OrderAnswer.unknown:
             tries.in_doubt = True
-            return None
+            return await self._find_fate(engine, order)
+        engine.silent = False
         if answer is not OrderAnswer.busy:
             return answer
         tries.busy_answers += 1
@@ -190,6 +191,9 @@
             that the order may not fit any more.
         """
         survey = await self.engines.survey(engine.record)
+        # The models of an engine that does not answer are loaded elsewhere.
+        engine.silent = survey is None
+        self.changed()
         if survey is None or survey.busy:
             return None
         if survey.order_count == engine.order_count:
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -14,6 +14,7 @@
     StoreUnavailableError,
 )
 from cowsliprack.protocol.gateway_messages import (
+    ConfigurationCopy,
     CreditAnswer,
     CreditAsk,
     LeaderView,
@@ -30,6 +31,10 @@
 _REPORT_SECONDS = 0.4
 # Seconds for which changes are gathered before they are told.
 _GATHER_SECONDS = 0.004
+# Seconds for which a reading of the leader stands for one of the store. A
+# watch proves the time at which it was asked, so the leader's proof is up to
+# twice as old as a watch waits; a report and its answer come on top.
+_RELAY_SECONDS = 2.8
 # Seconds after which a leader that says nothing is connected to anew.
 _RECONNECT_SECONDS = 1.5
 # Seconds that a request waits for an answer of the leader about credit.
@@ -56,6 +61,7 @@
     _leader_address: str = ''
     _view_fencing: int = 0
     _view_sequence: int = 0
+    _relayed_at: float = float('-inf')
     _connected: dict[str, str] = field(default_factory=dict)
     _connected_at: float = 0
     _credit_changed: dict[str, anyio.Event] = field(default_factory=dict)
@@ -226,6 +232,8 @@
                 self._take_view(message)
             case CreditAnswer():
                 self._take_credit(message)
+            case ConfigurationCopy():
+                self.needs.take_configuration(message.spec)
 
     def _take_view(self, view: LeaderView) -> None:
         if view.fencing < self._view_fencing:
@@ -249,6 +257,7 @@
             now,
         )
         self.needs.credit.instances = view.members
+        self._take_readings(view)
         self.needs.fleet.take(
             view.engines,
             view.gone,
@@ -261,6 +270,28 @@
             )
             self.needs.room.wake()
 
+    def _take_readings(self, view: LeaderView) -> None:
+        """Take what the leader has read from the store."""
+        needs = self.needs
+        if view.instance_id == needs.instance_id:
+            return
+        needs.take_targets(view)
+        is_current = needs.table().generation >= view.generation
+        if view.proof_offset is not None and is_current:
+            proved_at = view.stamp + view.proof_offset
+            needs.freshness.prove(proved_at)
+            self._relayed_at = max(self._relayed_at, proved_at)
+
+    def is_reading(self) -> bool:
+        """Return whether this instance must read the store itself.
+
+        The leader reads it for all; the others do while what it tells is old.
+        """
+        if self.term is not None or self.leaving:
+            return True
+        age = self.needs.clock() - self._relayed_at
+        return age > _RELAY_SECONDS
+
     async def _report(self) -> None:
         while True:
             with anyio.move_on_after(_REPORT_SECONDS):
@@ -285,7 +316,9 @@
             view_sequence=self._view_sequence,
             view_fencing=self._view_fencing,
             waiting=needs.room.summaries(now),
-            engines=needs.choice.engine_uses(),
+            engines=needs.choice.engine_uses(now),
+            generation=needs.table().generation,
+            registry_revision=needs.fleet.registry.revision,
             started_by_model=dict(needs.choice.started_by_model),
             leaving=self.leaving,
         )
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -9,15 +9,19 @@
 import structlog
 
 from cowsliprack.coordination.fleet_view import FleetView
+from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.lease import Lease
 from cowsliprack.coordination.region_state import Member, RegionState
+from cowsliprack.coordination.relayed_targets import target_view
 from cowsliprack.coordination.target_choice import TargetChoice
 from cowsliprack.coordination.token_credit import TokenBank, TokenCredit
 from cowsliprack.coordination.waiting_room import WaitingRoom
 from cowsliprack.protocol.engine import EngineOrders
 from cowsliprack.protocol.gateway_messages import (
+    ConfigurationCopy,
     CreditAnswer,
     CreditAsk,
+    LeaderView,
     MemberReport,
 )
 from cowsliprack.protocol.peer import AnyPeerMessage
@@ -41,6 +45,9 @@
     """What the task shares with the rest of its instance.
 
     :param address: under which other instances reach this one.
+    :param configuration_copy: returns the configuration in force as stored.
+    :param take_configuration: takes such a copy from the leader.
+    :param take_targets: takes the leader's list of targets.
     :param clock: seconds; goes on during suspension.
     """
 
@@ -57,7 +64,11 @@
     choice: TargetChoice
     room: WaitingRoom
     credit: TokenCredit
+    freshness: Freshness
     table: Callable[[], RoutingTable]
+    configuration_copy: Callable[[], bytes]
+    take_configuration: Callable[[bytes], None]
+    take_targets: Callable[[LeaderView], None]
     clock: Callable[[], float]
 
 
@@ -166,12 +177,28 @@
                 self._send_view(member, 0 if self._ended else max(left, 0))
 
     def _send_view(self, member: Member, left: float) -> None:
+        needs = self._needs
+        report = member.report
+        proof_offset = None
+        if member.stamp:
+            proof_offset = needs.freshness.proved_at - member.seen_at
+        changed, gone = needs.fleet.registry.changes_since(
+            report.registry_revision,
+        )
+        table = needs.table()
         view = msgspec.structs.replace(
-            self.state.view_for(member, self._needs.clock()),
+            self.state.view_for(member, needs.clock()),
+            generation=table.generation,
+            proof_offset=proof_offset,
+            registry_revision=needs.fleet.registry.revision,
+            targets=tuple(target_view(record) for record in changed),
+            targets_gone=tuple(gone),
             lease_version=self._lease.sight.version,
             lease_left=left,
         )
-        report = member.report
+        if report.generation < table.generation:
+            copy = ConfigurationCopy(needs.configuration_copy())
+            self._deliver(report.instance_id, report.address, copy)
         self._deliver(report.instance_id, report.address, view)
 
     def _grant(self, ask: CreditAsk) -> None:
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -275,7 +275,12 @@
             configuration=self.table().generation,
             registry=self.fleet.registry.revision,
         )
-        self.choice.start(target.target_id, job.facts.model, job.facts.adapter)
+        self.choice.start(
+            target.target_id,
+            job.facts.model,
+            job.facts.adapter,
+            now,
+        )
         try:
             await self._exchange(job, target, now)
         finally:
@@ -303,7 +308,10 @@
         except (httpx.HTTPError, TimeoutError) as failure:
             detail = f'{type(failure).__name__}: {failure}'
             raise TargetError(detail, trace.ran()) from failure
+        except TargetError:
+            raise
         except BaseException:
+            # Cancelled, because the deadline has passed or the caller left.
             job.may_have_run = job.may_have_run or trace.sent
             raise
 
@@ -376,6 +384,7 @@
     ) -> None:
         headers = answer.headers.raw
         status = answer.status_code
+        self.choice.hear(target.target_id, self.clock())
         if not self.dialect.answers_request(headers, job.facts.request_id):
             raise TargetError(
                 'the answer belongs to another request',
@@ -431,6 +440,7 @@
         job.blocks.rest.clear()
         returned = self.dialect.returned_headers(answer.headers.raw)
         async for chunk in answer.aiter_raw():
+            self.choice.hear(target.target_id, self.clock())
             whole = job.blocks.feed(chunk)
             if not whole:
                 continue
--- a/cowsliprack/transport/store_reader.py
+++ b/cowsliprack/transport/store_reader.py
@@ -44,6 +44,7 @@
 
     :param wait_seconds: after which a watch without changes comes back.
     :param on_reading: called with each reading and whether it is a whole list.
+    :param pause_seconds: between two calls, for which changes are gathered.
     :param is_wanted: whether to read now; other instances may tell instead.
     """
 
@@ -51,7 +52,8 @@
     kind: str
     wait_seconds: float
     on_reading: Callable[[KindReading, bool], None]
-    is_wanted: Callable[[], bool] = lambda: True
+    is_wanted: Callable[[], bool]
+    pause_seconds: float = 0
     _revision: int | None = None
     _reachable: bool = True
 
@@ -59,9 +61,12 @@
         """Read until cancelled."""
         while True:
             if not self.is_wanted():
+                # What has changed meanwhile is not known from here.
+                self._revision = None
                 await anyio.sleep(_RETRY_SECONDS)
                 continue
             await self._guard(self._read_once)
+            await anyio.sleep(self.pause_seconds)
 
     async def _guard(self, read: Callable[[], Awaitable[None]]) -> None:
         try:
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -64,6 +64,12 @@
     When a caller sends a lookup to g1
     Then the answer is 200
 
+  Scenario: A request that no target takes is answered as not run
+    Given every request of each service is refused without running it
+    When a caller sends an order to g1
+    Then the answer is 503
+    And the answer says when to come back
+
   Scenario: A withdrawn key stops on a connection that stays open
     Given a caller with an open connection to g1
     When the key is withdrawn
@@ -125,6 +131,10 @@
     When both gateways are killed and started again
     Then a stream of m3 at /report/ through g1 is served within 8 seconds
 
+  Scenario: Only the leader reads the store while all is well
+    When 3 seconds pass without a change
+    Then the store was asked at most 8 times a second in all
+
   Scenario: An instance starts while the store is away
     When g2 is killed and started again while the store is away for 2 seconds
     Then g2 becomes ready and serves an order
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -220,6 +220,30 @@
     context.world.engines['s1'].faults.refuse_requests = 1
 
 
+@given('every request of each service is refused without running it')
+def given_all_refused(context):
+    for name in ('s1', 's2'):
+        context.world.engines[name].faults.refuse_requests = 1000
+
+
+@then('the answer says when to come back')
+def then_retry_after(context):
+    assert float(context.answer[1]['retry-after']) > 0, context.answer
+
+
+@when('{seconds:d} seconds pass without a change')
+def when_quiet(context, seconds):
+    before = sum(context.world.platform.calls.values())
+    time.sleep(seconds)
+    after = sum(context.world.platform.calls.values())
+    context.calls_per_second = (after - before) / seconds
+
+
+@then('the store was asked at most {count:d} times a second in all')
+def then_few_calls(context, count):
+    assert context.calls_per_second <= count, context.calls_per_second
+
+
 @given('a caller with an open connection to g1')
 def given_connection(context):
     port = context.world.ports['g1']['front']
