--- a/cowsliprack/transport/route_job.py
+++ b/cowsliprack/transport/route_job.py
@@ -10,6 +10,7 @@
     Route,
 )
 from cowsliprack.transport.responses import Exchange
+from cowsliprack.transport.target_client import SendTrace
 
 
 @dataclass(slots=True)
@@ -27,6 +28,7 @@
     :param sends: how often it was sent.
     :param runs: sends after which it may have run.
     :param may_have_run: its bytes went out and no target denied running it.
+    :param trace: of the send whose fate is not known yet.
     :param blocks: events of the answer passed on so far.
     """
 
@@ -46,6 +48,7 @@
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
+    trace: SendTrace | None = None
     blocks: EventBlocks = field(default_factory=EventBlocks)
     first_byte_at: float = 0
     outcome: str = ''
@@ -55,6 +58,11 @@
         """Return when the request misses its latency target, seconds."""
         return self.arrived_at + self.route.latency_target
 
+    def is_in_doubt(self) -> bool:
+        """Return whether a target may have run, or may yet run, the request."""
+        is_open = self.trace is not None and self.trace.sent
+        return self.may_have_run or is_open
+
     def may_send_to(self, target_id: str) -> bool:
         """Return whether one more target may get the request.
 
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -73,7 +73,7 @@
         with anyio.move_on_after(job.deadline - self.clock()):
             await self._serve_attempts(job)
             return
-        if job.may_have_run:
+        if job.is_in_doubt():
             raise ServingError(
                 ErrorKind.answer_timeout,
                 'the target has not answered in time',
@@ -102,6 +102,7 @@
     ) -> None:
         """Return if the request shall be sent again, else raise."""
         now = self.clock()
+        job.trace = None
         if failure.ran is Ran.may_have_run:
             job.may_have_run = True
             job.runs += 1
@@ -295,25 +296,17 @@
         sent_at: float,
     ) -> None:
         trace = SendTrace()
+        job.trace = trace
         request = self._build(job, target, sent_at, trace)
         try:
             async with self._opened(job, request, sent_at) as answer:
                 await self._take_answer(job, target, answer, sent_at)
-        except httpx.ConnectError as failure:
+        except (httpx.HTTPError, TimeoutError) as failure:
             raise TargetError(
-                str(failure),
-                Ran.not_run,
-                unreachable=True,
+                f'{type(failure).__name__}: {failure}',
+                trace.ran(),
+                unreachable=isinstance(failure, httpx.ConnectError),
             ) from failure
-        except (httpx.HTTPError, TimeoutError) as failure:
-            detail = f'{type(failure).__name__}: {failure}'
-            raise TargetError(detail, trace.ran()) from failure
-        except TargetError:
-            raise
-        except BaseException:
-            # Cancelled, because the deadline has passed or the caller left.
-            job.may_have_run = job.may_have_run or trace.sent
-            raise
 
     @asynccontextmanager
     async def _opened(
--- a/cowsliprack/transport/route_server.py
+++ b/cowsliprack/transport/route_server.py
@@ -231,7 +231,7 @@
         job: RouteJob | None,
         error: ServingError,
     ) -> None:
-        if job is not None and job.organisation and not job.may_have_run:
+        if job is not None and job.organisation and not job.is_in_doubt():
             self.credit.give_back(job.organisation, job.tokens, self.clock())
         log_decision(
             'refusal',
@@ -286,7 +286,7 @@
             adapter=facts.adapter,
             targets=job.tried if job else [],
             sends=job.sends if job else 0,
-            may_have_run=job.may_have_run if job else False,
+            may_have_run=job.is_in_doubt() if job else False,
             first_ms=first_ms,
             total_ms=round((now - arrived_at) * 1000),
             configuration=self.table().generation,
