Take no request that a planned stop could cut; count adapters on their way

Idle connections are now closed, and no new ones taken, 2.5 s after SIGTERM; running requests get the rest of the grace time.

Both tests fail without the change.

--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -290,9 +290,11 @@
     if record.order_count != engine.order_count:
         return
     held = set(record.holdings_by_model)
-    if held != set(engine.adapters_by_model):
+    known = engine.adapters_by_model
+    if held != set(known):
+        # Entries do not list adapters that are on their way.
         engine.adapters_by_model = {
-            model: set(holding.adapters)
+            model: known.get(model, set()) | holding.adapters
             for model, holding in record.holdings_by_model.items()
         }
         engine.closing &= held
--- a/cowsliprack/platform/engine_calls.py
+++ b/cowsliprack/platform/engine_calls.py
@@ -8,7 +8,7 @@
 import msgspec
 import structlog
 
-from cowsliprack.platform.wire import EngineReport, decode_holdings
+from cowsliprack.platform.wire import EngineReport, decode_report_holdings
 from cowsliprack.protocol.engine import (
     Authority,
     EngineSurvey,
@@ -128,7 +128,7 @@
             order_count=report.seq,
             busy=report.busy,
             born=report.born,
-            holdings_by_model=decode_holdings(report.models),
+            holdings_by_model=decode_report_holdings(report),
             in_memory=frozenset(report.at_hand.in_memory),
             on_disk=frozenset(report.at_hand.on_disk),
         )
--- a/cowsliprack/platform/wire.py
+++ b/cowsliprack/platform/wire.py
@@ -100,7 +100,9 @@
     tenants: list[_Tenant] | None = None
 
 
-class _Held(msgspec.Struct):
+class HeldModel(msgspec.Struct):
+    """A model that an engine holds, with its adapters."""
+
     name: str
     version: int = 0
     adapters: list[str] = []
@@ -123,7 +125,7 @@
     born: int = 0
     # Number of orders that the engine has accepted since its start.
     seq: int = 0
-    models: list[_Held] = []
+    models: list[HeldModel] = []
     at_hand: _AtHand = msgspec.field(default_factory=_AtHand)
     busy: bool = False
 
@@ -138,7 +140,7 @@
     seq: int
     busy: bool = False
     born: int = 0
-    models: list[_Held] = []
+    models: list[HeldModel] = []
     at_hand: _AtHand = msgspec.field(default_factory=_AtHand)
     pending: list[str] = []
     active: int = 0
@@ -207,7 +209,7 @@
     )
 
 
-def decode_holdings(models: Iterable[_Held]) -> Mapping[str, Holding]:
+def decode_holdings(models: Iterable[HeldModel]) -> Mapping[str, Holding]:
     """Return holdings by model.
 
     :param models: as an engine lists them.
@@ -218,6 +220,23 @@
     }
 
 
+def decode_report_holdings(report: EngineReport) -> Mapping[str, Holding]:
+    """Return what an engine holds, adapters on their way included.
+
+    They take a place from the moment at which their order was accepted.
+
+    :param report: of the engine.
+    """
+    holdings = dict(decode_holdings(report.models))
+    for pending in report.pending:
+        model, _, adapter = pending.partition('@')[0].partition('/')
+        held = holdings.get(model)
+        if held is not None and adapter:
+            adapters = held.adapters | {adapter}
+            holdings[model] = Holding(held.version, adapters)
+    return holdings
+
+
 def _is_address(address: str) -> bool:
     host, _, port = address.rpartition(':')
     return bool(host) and port.isdigit()
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -23,10 +23,7 @@
 from cowsliprack.state.gateway_settings import GatewaySettings
 from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.transport.clock import read_clock
-from cowsliprack.transport.http_listener import (
-    CLOSE_SECONDS,
-    serve_addresses,
-)
+from cowsliprack.transport.http_listener import serve_addresses
 from cowsliprack.transport.peer_sockets import PeerSockets
 from cowsliprack.transport.region import Region
 from cowsliprack.transport.region_term import RegionNeeds
@@ -67,6 +64,7 @@
     fleet: FleetView = field(default_factory=FleetView)
     room: WaitingRoom = field(default_factory=WaitingRoom)
     _configuration_copy: bytes = b''
+    _closed: anyio.Event = field(default_factory=anyio.Event)
     freshness: Freshness = field(init=False)
     region: Region = field(init=False)
     server: RouteServer = field(init=False)
@@ -173,27 +171,30 @@
                 peers=self.sockets.address,
             )
             await wait_for_stop()
-            await self._drain()
-            stopped.set()
-            await anyio.sleep(CLOSE_SECONDS)
+            await self._drain(stopped)
             tasks.cancel_scope.cancel()
         _log.info('stopped', instance_id=self.settings.instance_id)
 
-    async def _drain(self) -> None:
+    async def _drain(self, stopped: anyio.Event) -> None:
+        """Serve on while the balancer still sends connections, then close.
+
+        Connections without a request are closed first, so that no request is
+        taken that could not be finished before the process is killed.
+        """
         self.draining = True
         self.region.leaving = True
-        began_at = read_clock()
         _log.info('draining', requests=self.server.open_requests)
         await self.region.release()
-        last_at = began_at + self.settings.grace_seconds
-        last_at -= _GRACE_MARGIN_SECONDS
-        unready_at = began_at + _UNREADY_SECONDS
-        while read_clock() < last_at:
-            await anyio.sleep(0.05)
-            if read_clock() >= unready_at and not self.server.open_requests:
-                break
+        await anyio.sleep(_UNREADY_SECONDS)
+        stopped.set()
+        with anyio.move_on_after(self._closing_seconds()):
+            await self._closed.wait()
         _log.info('drained', requests=self.server.open_requests)
 
+    def _closing_seconds(self) -> float:
+        grace = self.settings.grace_seconds - _GRACE_MARGIN_SECONDS
+        return max(grace - _UNREADY_SECONDS, 0)
+
     async def _serve_http(self, stopped: anyio.Event) -> None:
         settings = self.settings
         addresses = [
@@ -201,7 +202,13 @@
             settings.ready_address,
             settings.metrics_address,
         ]
-        await serve_addresses(self._handle, addresses, stopped)
+        await serve_addresses(
+            self._handle,
+            addresses,
+            stopped,
+            self._closing_seconds(),
+        )
+        self._closed.set()
 
     async def _handle(
         self,
--- a/cowsliprack/transport/http_listener.py
+++ b/cowsliprack/transport/http_listener.py
@@ -9,8 +9,6 @@
 
 from cowsliprack.transport.responses import Receive, Send
 
-# Time in which connections are closed after the last request, seconds.
-CLOSE_SECONDS = 0.5
 _BACKLOG = 1024
 _MAX_HEADER_BYTES = 65_536
 # Longer than any idle time that a configuration lets callers use, seconds.
@@ -24,18 +22,21 @@
     application: Application,
     addresses: list[str],
     stopped: anyio.Event,
+    closing_seconds: float,
 ) -> None:
     """Serve until stopped, then close the connections.
 
     :param application: gets the HTTP requests, in the ASGI protocol.
     :param addresses: each ``ip:port``.
-    :param stopped: set when the server shall end.
+    :param stopped: set when idle connections shall be closed and no new ones
+        taken.
+    :param closing_seconds: for which requests may then go on.
     """
     config = Config()
     config.bind = addresses
     config.errorlog = None
     config.backlog = _BACKLOG
-    config.graceful_timeout = CLOSE_SECONDS
+    config.graceful_timeout = closing_seconds
     config.keep_alive_timeout = _KEEP_ALIVE_SECONDS
     config.keep_alive_max_requests = _MOST_REQUESTS_PER_CONNECTION
     config.h11_max_incomplete_size = _MAX_HEADER_BYTES
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -127,6 +127,15 @@
     And the stream ends whole
     And g1 exits within 6 seconds
 
+  Scenario: A planned stop takes no request that it could not finish
+    Given a caller with an open connection to g1
+    When g1 is told to stop and the caller waits for 4 seconds
+    Then the connection has been closed without a request on it
+
+  Scenario: An adapter that is on its way takes a place
+    Given an engine whose report lists an adapter as pending
+    Then the survey of the engine counts it
+
   Scenario: All instances lose power and recover from the store alone
     When both gateways are killed and started again
     Then a stream of m3 at /report/ through g1 is served within 8 seconds
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -9,6 +9,11 @@
 
 from behave import given, then, when
 
+from cowsliprack.platform.wire import (
+    EngineReport,
+    HeldModel,
+    decode_report_holdings,
+)
 from tests.support.gateway_world import (
     KEY,
     GatewayWorld,
@@ -460,6 +465,34 @@
     assert context.world.processes['g1'].wait(seconds) == 0
 
 
+@when('g1 is told to stop and the caller waits for {seconds:d} seconds')
+def when_stop_idle(context, seconds):
+    context.world.signal('g1', signal.SIGTERM)
+    time.sleep(seconds)
+
+
+@then('the connection has been closed without a request on it')
+def then_closed(context):
+    context.connection.settimeout(1)
+    assert context.connection.recv(10) == b''
+
+
+@given('an engine whose report lists an adapter as pending')
+def given_pending(context):
+    context.report = EngineReport(
+        seq=3,
+        models=[HeldModel(name='m0', adapters=['a1'])],
+        pending=['m0/a2@1', 'gone/a1@1', 'nonsense'],
+    )
+
+
+@then('the survey of the engine counts it')
+def then_counted(context):
+    holdings = decode_report_holdings(context.report)
+    assert holdings['m0'].adapters == {'a1', 'a2'}, holdings
+    assert set(holdings) == {'m0'}
+
+
 @when('both gateways are killed and started again')
 def when_power_loss(context):
     for name in ('g1', 'g2'):
