Deliver a target's failure when it cannot be tried again

The budget was one for all services, so refusals of engines used up what lookups needed. Now it is counted for each service and taken before the answer is dropped. Ruled out: passing on every 500 at once, which gives up lookups that a second target answers. One run of the feature failed on a port that an outgoing connection had taken (traceback: EADDRINUSE in listen); ports are now chosen below the system's range for those.

--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -109,7 +109,7 @@
             choice=choice,
             room=self.room,
             freshness=self.freshness,
-            budget=_retry_budget(settings),
+            new_budget=lambda: _retry_budget(settings),
             table=self.current_table,
             demand_changed=self.region.demand_changed,
             clock=read_clock,
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -41,10 +41,15 @@
     """A target refused a request without running it."""
 
 
+class _FailedAnswerError(TargetError):
+    """A target answered with a failure; the next send is paid for."""
+
+
 @dataclass(slots=True)
 class RouteRelay:
     """Sends requests of one instance and passes on what comes back.
 
+    :param new_budget: returns the budget of repeats of a further service.
     :param table: returns the configuration in force.
     :param demand_changed: called when a request begins to wait.
     :param clock: seconds; goes on during suspension.
@@ -56,11 +61,12 @@
     choice: TargetChoice
     room: WaitingRoom
     freshness: Freshness
-    budget: RetryBudget
+    new_budget: Callable[[], RetryBudget]
     table: Callable[[], RoutingTable]
     demand_changed: Callable[[], None]
     clock: Callable[[], float]
     rng: random.Random = field(default_factory=random.Random)
+    budgets_by_service: dict[str, RetryBudget] = field(default_factory=dict)
 
     async def serve(self, job: RouteJob) -> None:
         """Serve one request to its end.
@@ -69,7 +75,7 @@
         :raises ServingError: the answer is an error; when it has been begun,
             it must end as incomplete.
         """
-        self.budget.earn(self.clock())
+        self._budget(job).earn(self.clock())
         with anyio.move_on_after(job.deadline - self.clock()):
             await self._serve_attempts(job)
             return
@@ -139,10 +145,19 @@
             return True, 'never reached the target'
         if job.runs >= job.route.attempts:
             return False, 'attempts are used up'
-        if not self.budget.spend(now):
+        is_paid = isinstance(failure, _FailedAnswerError)
+        if not is_paid and not self._budget(job).spend(now):
             return False, 'retry budget is spent'
         return True, 'retry'
 
+    def _budget(self, job: RouteJob) -> RetryBudget:
+        """Return the budget of a service; it is counted for each apart."""
+        budget = self.budgets_by_service.get(job.service)
+        if budget is None:
+            budget = self.new_budget()
+            self.budgets_by_service[job.service] = budget
+        return budget
+
     def _final_error(self, job: RouteJob, failure: TargetError) -> ServingError:
         if job.exchange.started:
             return ServingError(ErrorKind.stream_broken, str(failure))
@@ -397,13 +412,17 @@
             return
         body = await answer.aread()
         if status >= _SERVER_ERROR and self._may_try_other(job):
-            raise TargetError(f'status {status}', Ran.may_have_run)
+            raise _FailedAnswerError(f'status {status}', Ran.may_have_run)
         self._note_first_byte(job, target, sent_at)
         await self._pass_whole(job, answer, body)
 
     def _may_try_other(self, job: RouteJob) -> bool:
-        return job.is_repeatable() and (
-            len(set(job.tried)) < job.route.attempts
+        # Without a further send the failure is the caller's answer.
+        return (
+            job.is_repeatable()
+            and len(set(job.tried)) < job.route.attempts
+            and job.runs + 1 < job.route.attempts
+            and self._budget(job).spend(self.clock())
         )
 
     async def _pass_whole(
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -64,6 +64,17 @@
     When a caller sends a lookup to g1
     Then the answer is 200
 
+  Scenario: A failure that a target answered reaches the caller
+    Given the next 9 answers of each service are failures
+    When a caller sends a lookup to g1
+    Then the answer is 500
+    And the answer bears the seal of a target
+
+  Scenario: A failed lookup is tried at another target
+    Given the next answer of one service is a failure
+    When g1 gets 2 lookups
+    Then each answer is 200
+
   Scenario: A request that no target takes is answered as not run
     Given every request of each service is refused without running it
     When a caller sends an order to g1
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -231,6 +231,35 @@
         context.world.engines[name].faults.refuse_requests = 1000
 
 
+@given('the next {count:d} answers of each service are failures')
+def given_failures(context, count):
+    for name in ('s1', 's2'):
+        context.world.engines[name].faults.failed_answers = count
+
+
+@given('the next answer of one service is a failure')
+def given_one_failure(context):
+    context.world.engines['s1'].faults.failed_answers = 1
+
+
+@when('g1 gets {count:d} lookups')
+def when_lookups(context, count):
+    context.answers = []
+    for _ in range(count):
+        when_sends(context, 'a lookup', 'g1')
+        context.answers.append(context.answer)
+
+
+@then('each answer is {status:d}')
+def then_each(context, status):
+    assert {answer[0] for answer in context.answers} == {status}
+
+
+@then('the answer bears the seal of a target')
+def then_sealed(context):
+    assert context.answer[1]['x-server-seal'].startswith('seal-')
+
+
 @then('the answer says when to come back')
 def then_retry_after(context):
     assert float(context.answer[1]['retry-after']) > 0, context.answer
--- a/tests/support/gateway_world.py
+++ b/tests/support/gateway_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -25,9 +26,18 @@
 
 
 def free_port():
-    """Return a port that is free now."""
-    with socket.create_server(('127.0.0.1', 0)) as listener:
-        return listener.getsockname()[1]
+    """Return a port that is free now and stays so until it is bound.
+
+    The system gives ports above this range to outgoing connections, which
+    could take one between its choice and the start of the gateway.
+    """
+    while True:
+        port = random.randrange(15000, 32000)
+        try:
+            with socket.create_server(('127.0.0.1', port)):
+                return port
+        except OSError:
+            continue
 
 
 def configuration(version=1, keys=(KEY,), rate=100000, prefix='/chat/'):
--- a/tools/standins/route_engine.py
+++ b/tools/standins/route_engine.py
@@ -36,6 +36,7 @@
         this many seconds each.
     :param refuse_requests: requests that are refused without running.
     :param break_streams: streams that are cut after this many events each.
+    :param failed_answers: answers with status 500.
     :param wrong_ids: answers that carry the id of another request.
     """
 
@@ -44,6 +45,7 @@
     refuse_requests: int = 0
     break_streams: list[int] = field(default_factory=list)
     wrong_ids: int = 0
+    failed_answers: int = 0
 
 
 @dataclass(slots=True)
@@ -266,7 +268,11 @@
             'x-server-seal': f'seal-{self.target_id}',
         }
         if not self.places:
-            await request.start(headers=headers)
+            status = 200
+            if self.faults.failed_answers:
+                self.faults.failed_answers -= 1
+                status = 500
+            await request.start(status, headers=headers)
             await request.write(request.body or b'looked up', more=False)
             return
         await request.start(
