--- /dev/null
+++ b/tests/steps/adapter_steps.py
@@ -0,0 +1,139 @@
+"""Steps for what the adapter of the platform translates."""
+
+import os
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from cowsliprack.exceptions import ConfigurationError
+from cowsliprack.platform.headers import forwarded_headers
+from cowsliprack.platform.settings import parse_platform_settings
+from cowsliprack.platform.wire import decode_configuration
+from cowsliprack.protocol.dialect import SendFacts
+from tests.support.gateway_world import configuration
+
+_SETTINGS = """node=g1
+zone=zone-a
+ip=127.0.0.1
+listen.front=127.0.0.1:1
+listen.ready=127.0.0.1:2
+internal_ports=3,4
+platform.addr=127.0.0.1:5
+"""
+_FACTS = SendFacts(
+    target_id='e1',
+    seconds_left=1.5,
+    organisation='desk',
+    resume_after='12',
+    priority=3,
+)
+
+
+def _forward(context, headers):
+    pairs = [
+        (name.lower().encode(), text.encode()) for name, text in headers.items()
+    ]
+    context.seen = dict(forwarded_headers(pairs, _FACTS))
+
+
+@when('a request with the header "{header}: {sent}" goes to a target')
+def when_forwarded(context, header, sent):
+    context.header = header.lower().encode()
+    _forward(context, {header: sent})
+
+
+@when('a request names the header X-One-Hop in its Connection header')
+def when_one_hop(context):
+    _forward(context, {'Connection': 'x-one-hop', 'X-One-Hop': '1'})
+
+
+@then('the target sees "{seen}" there')
+def then_seen(context, seen):
+    assert context.seen.get(context.header, b'').decode() == seen, context.seen
+
+
+@then('the target sees "" there')
+def then_nothing(context):
+    assert context.header not in context.seen, context.seen
+
+
+@then('the target does not see "{name}"')
+def then_not_seen(context, name):
+    assert name.encode() not in context.seen, context.seen
+
+
+@given('a settings file with {problem}')
+def given_settings(context, problem):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.settings_text = {
+        'no node': _SETTINGS.replace('node=g1\n', ''),
+        'a bound without sense': f'{_SETTINGS}bounds.revoke_ms=soon\n',
+        'no internal ports': _SETTINGS.replace('internal_ports=3,4\n', ''),
+        'unknown lines and fields': f'{_SETTINGS}a line\nx.y=1\n=\n\x00\n',
+        'no file': None,
+    }[problem]
+    context.path = Path(folder.name) / 'missing.conf'
+    if context.settings_text is not None:
+        context.path.write_text(context.settings_text)
+
+
+@when('the program is started with it')
+def when_started(context):
+    context.run = subprocess.run(
+        [sys.executable, '-m', 'cowsliprack', 'platform'],
+        env={**os.environ, 'COWSLIPRACK_SETTINGS': str(context.path)},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+@then('it exits with code 2 and one line that names "{name}"')
+def then_exit(context, name):
+    lines = context.run.stderr.splitlines()
+    assert context.run.returncode == 2, context.run
+    assert len(lines) == 1 and name in lines[0], lines
+
+
+@then('its settings are read')
+def then_read(context):
+    settings = parse_platform_settings(context.settings_text)
+    assert settings.instance_id == 'g1'
+
+
+@given('the configuration of the desk and a route for "{prefix}"')
+def given_routes(context, prefix):
+    document = configuration()
+    more = {**document['routes'][0], 'name': 'fast', 'path_prefix': prefix}
+    document['routes'].append(more)
+    context.decoded = decode_configuration(document)
+
+
+@then('the route for "{host}" and "{path}" is "{name}"')
+def then_route(context, host, path, name):
+    route = context.decoded.find_route(host, path)
+    assert (route.name if route else 'none') == name, route
+
+
+@when('a configuration with {problem} is decoded')
+def when_decoded(context, problem):
+    document = configuration()
+    if problem == 'no version':
+        document.pop('version')
+    elif problem == 'a route without a host':
+        document['routes'][0].pop('host')
+    else:
+        document['services'] = 7
+    try:
+        context.decoded = decode_configuration(document)
+    except ConfigurationError as error:
+        context.decoded = error
+
+
+@then('it is refused as a whole')
+def then_refused(context):
+    assert isinstance(context.decoded, ConfigurationError), context.decoded
--- /dev/null
+++ b/tests/steps/platform_store_steps.py
@@ -0,0 +1,150 @@
+"""Steps for the client of the platform's store."""
+
+import asyncio
+
+import anyio
+import httpx
+from behave import given, then, when
+
+from cowsliprack.exceptions import StoreError
+from cowsliprack.platform.store import PlatformStore
+from cowsliprack.transport.checked_transport import CheckedTransport
+from tools.standins.objects import ObjectPlatform
+from tools.standins.web import bind, serve_on
+
+_KIND = 'servers'
+
+
+@given("the stand-in of the platform's store with {count:d} targets")
+def given_store(context, count):
+    context.platform = ObjectPlatform()
+    for number in range(count):
+        context.platform.put(_KIND, f't{number}', {'service': 's'})
+    context.rev = context.platform.put('own', 'object', {'n': 1})
+
+
+@given('the store {fault}')
+def given_fault(context, fault):
+    faults = context.platform.faults
+    faults.outage = fault == 'is away'
+    faults.silent = fault == 'is silent'
+    faults.refused = 5 if fault == 'refuses calls' else 0
+    faults.lost_answers = 1 if fault == 'loses answers' else 0
+    faults.late_writes = [2] if fault == 'writes late' else []
+
+
+def _with_store(context, use):
+    async def run():
+        stopped = anyio.Event()
+        listener = bind()
+        url = f'http://127.0.0.1:{listener.getsockname()[1]}'
+        serving = asyncio.ensure_future(
+            serve_on(listener, context.platform.handle, stopped.wait)
+        )
+        async with httpx.AsyncClient(transport=CheckedTransport()) as client:
+            result = await use(PlatformStore(url, client))
+        stopped.set()
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        return result
+
+    return asyncio.run(run())
+
+
+@when('the targets are listed')
+def when_listed(context):
+    context.reading = _with_store(context, lambda store: store.list_kind(_KIND))
+
+
+@then('{count:d} targets were read')
+def then_count(context, count):
+    assert len(context.reading.specs_by_name) == count, context.reading
+
+
+def _watch_after(context, change, wait_seconds):
+    async def use(store):
+        listed = await store.list_kind(_KIND)
+        change()
+        try:
+            return await store.watch_kind(_KIND, listed.revision, wait_seconds)
+        except StoreError as error:
+            return error
+
+    context.reading = _with_store(context, use)
+
+
+@when('the targets are listed and then one changes and one is removed')
+def when_changed(context):
+    def change():
+        context.platform.put(_KIND, 't1', {'service': 'other'})
+        context.platform.put(_KIND, 't2', None)
+
+    _watch_after(context, change, 2)
+
+
+@when('the targets are listed and watched for {seconds:g} seconds')
+def when_watched(context, seconds):
+    _watch_after(context, lambda: None, seconds)
+
+
+@when('the targets are listed and then the history is dropped')
+def when_dropped(context):
+    _watch_after(context, context.platform.compact, 2)
+
+
+@then('the watch tells one changed and one removed target')
+def then_changes(context):
+    assert context.reading.specs_by_name == {
+        't1': {'service': 'other'},
+        't2': None,
+    }, context.reading
+
+
+@then('the watch tells nothing')
+def then_quiet(context):
+    assert context.reading.specs_by_name == {}, context.reading
+
+
+@then('the watch ends with {outcome}')
+def then_watch_ends(context, outcome):
+    assert type(context.reading).__name__ == outcome, context.reading
+
+
+@when('a {call} is made')
+def when_call(context, call):
+    calls = {
+        'read': lambda store: store.read('own/object'),
+        'create': lambda store: store.create('own/new', {'n': 2}),
+        'second create': lambda store: store.create('own/object', {'n': 2}),
+        'update': lambda store: store.update(
+            'own/object', {'n': 2}, context.rev
+        ),
+        'stale update': lambda store: store.update(
+            'own/object', {'n': 2}, context.rev - 1
+        ),
+        'delete': lambda store: store.delete('own/object', context.rev),
+        'stale delete': lambda store: store.delete(
+            'own/object', context.rev - 1
+        ),
+    }
+
+    async def use(store):
+        try:
+            await calls[call](store)
+        except StoreError as error:
+            return type(error).__name__
+        return 'success'
+
+    context.outcome = _with_store(context, use)
+
+
+@then('the call ends with {outcome}')
+def then_outcome(context, outcome):
+    assert context.outcome == outcome, context.outcome
+
+
+@then('the object holds what was written')
+def then_written(context):
+    assert context.outcome == 'StoreUnavailableError'
+    stored = _with_store(context, lambda store: store.read('own/object'))
+    assert stored.body == {'n': 2}, stored
