Believe orders, not entries, on what engines hold; watch from what was told

Once the load had ended the leader took the entry for newer, forgot the model, and ordered one more. Entries are no longer taken over. Ruled out: adapters on their way (no adapter was ordered there). The test fails without the change.

A watch that told nothing no longer moves the reader past changes.

One copy of what a lease asks of the store serves both leaders.

--- a/cowsliprack/cli.py
+++ b/cowsliprack/cli.py
@@ -11,6 +11,8 @@
 
 # What a shell reports for a program that Ctrl-C ended.
 _INTERRUPTED = 130
+_LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+_HIGHEST_PORT = 65535
 # Fire would take "-", the name of standard input, for its own separator.
 _SEPARATOR = ('--', '--separator=//')
 
@@ -29,15 +31,21 @@
     instance.serve(settings.load_settings(**flags))
 
 
-def platform(log_level: str = 'info') -> None:
+def platform(log_level: str = 'info', metrics_port: str = '0') -> None:
     """Run one instance on the platform until it is told to stop.
 
     The settings come from the file that the platform names in the variable
     COWSLIPRACK_SETTINGS.
 
     :param log_level: lowest level that is written.
+    :param metrics_port: 0 for the last internal port.
     """
-    importlib.import_module('cowsliprack.platform.run').serve(log_level)
+    if log_level not in _LOG_LEVELS:
+        raise ConfigurationError([f'--log-level: one of {_LOG_LEVELS}'])
+    if not metrics_port.isdigit() or int(metrics_port) > _HIGHEST_PORT:
+        raise ConfigurationError(['--metrics-port: a port number'])
+    run = importlib.import_module('cowsliprack.platform.run')
+    run.serve(log_level, int(metrics_port))
 
 
 def main() -> None:
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -279,30 +279,12 @@
     if engine is None or engine.record.born != record.born:
         engine = EngineState(record)
         rotation.engines_by_id[record.target_id] = engine
+    # What the entry says of models is not taken over: an engine writes it also
+    # while a load is under way, and it holds what it was ordered to hold.
     engine.record = record
-    if engine.surveyed:
-        _reconcile(engine)
     return engine
 
 
-def _reconcile(engine: EngineState) -> None:
-    """Believe an entry that was written after the last known order."""
-    record = engine.record
-    if engine.order is not None or record.busy:
-        return
-    if record.order_count != engine.order_count:
-        return
-    held = set(record.holdings_by_model)
-    known = engine.adapters_by_model
-    if held != set(known):
-        # Entries do not list adapters that are on their way.
-        engine.adapters_by_model = {
-            model: known.get(model, set()) | holding.adapters
-            for model, holding in record.holdings_by_model.items()
-        }
-        engine.closing &= held
-
-
 def finish_order(engine: EngineState, order: EngineOrder, now: float) -> None:
     """Note that an engine has carried out an order.
 
--- a/cowsliprack/coordination/rotation.py
+++ b/cowsliprack/coordination/rotation.py
@@ -301,6 +301,8 @@
         model = self.spec.models_by_name.get(name)
         if model is None:
             return []
+        # An engine with a copy of the weights will be free sooner than a load
+        # from the weight store ends, so only such engines are looked at.
         choices = [
             choice
             for engine in self._copies_by_model[name] or self._plannable
@@ -312,7 +314,7 @@
         if not choices:
             return []
         best = min(choices, key=lambda choice: choice.cost)
-        if best.is_cold and not self._may_load_cold(name, now):
+        if best.is_cold and not self._may_load_cold(now):
             return []
         best.engine.closing.update(best.victims)
         best.engine.assigned = name
@@ -382,11 +384,7 @@
             return self.spec.weights_size
         return model.size + adapters * model.adapter_size
 
-    def _may_load_cold(self, model: str, now: float) -> bool:
-        # An engine with a copy of the weights will be free sooner than a load
-        # from the weight store ends.
-        if self._copies_by_model[model]:
-            return False
+    def _may_load_cold(self, now: float) -> bool:
         since = now - _COLD_WINDOW_SECONDS
         self._cold_starts = [at for at in self._cold_starts if at > since]
         limit = self.spec.loads_per_second * _COLD_WINDOW_SECONDS
--- a/cowsliprack/platform/run.py
+++ b/cowsliprack/platform/run.py
@@ -35,14 +35,15 @@
 _TARGETS_WAIT = 2.5
 
 
-def serve(log_level: str = 'info') -> None:
+def serve(log_level: str = 'info', metrics_port: int = 0) -> None:
     """Run one instance on the platform until it is told to stop.
 
     :param log_level: lowest level that is written.
+    :param metrics_port: 0 for the last internal port.
     """
     configure_logs(log_level)
     path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH)
-    settings = load_platform_settings(path)
+    settings = load_platform_settings(path, metrics_port)
     anyio.run(run_gateway, settings, make_parts)
 
 
--- a/cowsliprack/platform/settings.py
+++ b/cowsliprack/platform/settings.py
@@ -55,10 +55,14 @@
     )
 
 
-def load_platform_settings(path: str | Path) -> GatewaySettings:
+def load_platform_settings(
+    path: str | Path,
+    metrics_port: int = 0,
+) -> GatewaySettings:
     """Return the settings in a file of the platform.
 
     :param path: of the file: lines of the form ``a.b=value``.
+    :param metrics_port: 0 for the last internal port.
     :raises ConfigurationError: the file cannot be read, or a needed field is
         missing or malformed; one line for each problem.
     """
@@ -66,13 +70,17 @@
         text = Path(path).read_text(encoding='utf-8', errors='replace')
     except OSError as error:
         raise ConfigurationError([f'{path}: {error.strerror}']) from error
-    return parse_platform_settings(text)
+    return parse_platform_settings(text, metrics_port)
 
 
-def parse_platform_settings(text: str) -> GatewaySettings:
+def parse_platform_settings(
+    text: str,
+    metrics_port: int = 0,
+) -> GatewaySettings:
     """Return the settings in the text of a settings file.
 
     :param text: lines of the form ``a.b=value``; others are ignored.
+    :param metrics_port: 0 for the last internal port.
     :raises ConfigurationError: a needed field is missing or malformed.
     """
     fields = _read_lines(text)
@@ -87,7 +95,7 @@
             ready_address=known.ready_address,
             peer_host=known.ip,
             peer_port=int(first_port),
-            metrics_address=f'{known.ip}:{int(last_port or first_port)}',
+            metrics_address=f'{known.ip}:{metrics_port or int(last_port)}',
             store_url=f'http://{known.store_address}',
             drain_seconds=known.drain_ms / _MS,
             grace_seconds=known.grace_s,
--- a/cowsliprack/platform/store.py
+++ b/cowsliprack/platform/store.py
@@ -161,6 +161,10 @@
         if answer.status_code == _GONE:
             raise HistoryGoneError(f'changes of {kind} since {since} are gone')
         changes = _decode(answer, _Events)
+        if not changes.events:
+            # While the store drops its history, watches hear nothing of
+            # changes; only what was told counts as seen.
+            return Reading({}, since, asked_at)
         specs_by_name = {}
         for raw in changes.events:
             event = msgspec.json.decode(raw, type=_Event)
--- a/cowsliprack/transport/leader.py
+++ b/cowsliprack/transport/leader.py
@@ -6,15 +6,14 @@
 from anyio.abc import TaskGroup
 
 from cowsliprack.coordination.lease import Lease, Role
-from cowsliprack.coordination.lease_record import ReadLease, WriteLease
+from cowsliprack.coordination.lease_record import LeaseAction
 from cowsliprack.coordination.zone import ZoneController
-from cowsliprack.exceptions import StoreConflictError, StoreUnavailableError
 from cowsliprack.protocol.peer import (
     AnyPeerMessage,
     Heartbeat,
     HeartbeatAck,
 )
-from cowsliprack.protocol.store import StoredObject
+from cowsliprack.transport.lease_calls import carry_out
 from cowsliprack.transport.term import LeaderDependencies, Term
 
 # Seconds between looks at the lease and at what is due.
@@ -82,29 +81,9 @@
             self._end_lost_term()
             await anyio.sleep(_TICK_SECONDS)
 
-    async def _carry_out(self, action: ReadLease | WriteLease) -> None:
-        store = self._needs.store
-        lease = self._lease
-        clock = self._needs.clock
-        try:
-            if isinstance(action, ReadLease):
-                lease.on_read(await store.read(action.key), clock())
-            else:
-                lease.on_written(await self._write(action), clock())
-        except StoreConflictError:
-            lease.on_conflict(clock())
-        except StoreUnavailableError:
-            lease.on_no_answer(clock())
-
-    async def _write(self, action: WriteLease) -> StoredObject:
-        store = self._needs.store
-        if action.expected_version is None:
-            return await store.create(action.key, action.body)
-        return await store.update(
-            action.key,
-            action.body,
-            action.expected_version,
-        )
+    async def _carry_out(self, action: LeaseAction) -> None:
+        needs = self._needs
+        await carry_out(self._lease, action, needs.store, needs.clock)
 
     async def _lead(self) -> None:
         while True:
--- /dev/null
+++ b/cowsliprack/transport/lease_calls.py
@@ -0,0 +1,42 @@
+"""Carries out what a lease asks of the platform store."""
+
+from collections.abc import Callable
+
+from cowsliprack.coordination.lease import Lease
+from cowsliprack.coordination.lease_record import (
+    LeaseAction,
+    ReadLease,
+    WriteLease,
+)
+from cowsliprack.exceptions import StoreConflictError, StoreUnavailableError
+from cowsliprack.protocol.store import ObjectStore, StoredObject
+
+
+async def carry_out(
+    lease: Lease,
+    action: LeaseAction,
+    store: ObjectStore,
+    clock: Callable[[], float],
+) -> None:
+    """Do what a lease asks for and tell it the one result.
+
+    :param lease: that asked.
+    :param action: what it asked for.
+    :param store: the platform store.
+    :param clock: seconds; must keep running during suspension.
+    """
+    try:
+        if isinstance(action, ReadLease):
+            lease.on_read(await store.read(action.key), clock())
+        else:
+            lease.on_written(await _write(store, action), clock())
+    except StoreConflictError:
+        lease.on_conflict(clock())
+    except StoreUnavailableError:
+        lease.on_no_answer(clock())
+
+
+async def _write(store: ObjectStore, action: WriteLease) -> StoredObject:
+    if action.expected_version is None:
+        return await store.create(action.key, action.body)
+    return await store.update(action.key, action.body, action.expected_version)
--- a/cowsliprack/transport/order_desk.py
+++ b/cowsliprack/transport/order_desk.py
@@ -17,6 +17,8 @@
 
 # Seconds between two tries of an order that the engine did not take yet.
 _AGAIN_SECONDS = 0.02
+# The same for an engine that does not answer at all.
+_SILENT_SECONDS = 0.2
 # Seconds between two questions whether an order has ended.
 _POLL_SECONDS = 0.08
 # Seconds that an adapter takes to arrive while few are on their way, with
@@ -142,7 +144,9 @@
             settled = await self._settle(engine, order, answer, tries)
             if settled is not None:
                 return settled
-            await anyio.sleep(_AGAIN_SECONDS)
+            await anyio.sleep(
+                _SILENT_SECONDS if engine.silent else _AGAIN_SECONDS
+            )
         return OrderAnswer.refused
 
     async def _settle(
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -7,12 +7,8 @@
 import structlog
 
 from cowsliprack.coordination.lease import Lease
-from cowsliprack.coordination.lease_record import ReadLease, WriteLease
-from cowsliprack.exceptions import (
-    CowsliprackError,
-    StoreConflictError,
-    StoreUnavailableError,
-)
+from cowsliprack.coordination.lease_record import LeaseAction
+from cowsliprack.exceptions import CowsliprackError
 from cowsliprack.protocol.gateway_messages import (
     ConfigurationCopy,
     CreditAnswer,
@@ -21,8 +17,8 @@
     MemberReport,
 )
 from cowsliprack.protocol.peer import AnyPeerMessage
-from cowsliprack.protocol.store import StoredObject
 from cowsliprack.state.routing_table import OrganisationLimits
+from cowsliprack.transport.lease_calls import carry_out
 from cowsliprack.transport.region_term import RegionNeeds, RegionTerm
 
 # Cores that a leader should have, and the seconds for which an instance with
@@ -165,28 +161,9 @@
             now - since > _HANDICAP_SECONDS
         )
 
-    async def _carry_out(self, action: ReadLease | WriteLease) -> None:
-        store = self.needs.store
-        clock = self.needs.clock
-        try:
-            if isinstance(action, ReadLease):
-                self.lease.on_read(await store.read(action.key), clock())
-            else:
-                self.lease.on_written(await self._write(action), clock())
-        except StoreConflictError:
-            self.lease.on_conflict(clock())
-        except StoreUnavailableError:
-            self.lease.on_no_answer(clock())
-
-    async def _write(self, action: WriteLease) -> StoredObject:
-        store = self.needs.store
-        if action.expected_version is None:
-            return await store.create(action.key, action.body)
-        return await store.update(
-            action.key,
-            action.body,
-            action.expected_version,
-        )
+    async def _carry_out(self, action: LeaseAction) -> None:
+        needs = self.needs
+        await carry_out(self.lease, action, needs.store, needs.clock)
 
     def _follow_record(self) -> None:
         """Follow the holder in the lease object."""
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -17,6 +17,10 @@
     When the targets are listed and watched for 0.2 seconds
     Then the watch tells nothing
 
+  Scenario: A watch that told nothing has seen nothing
+    When the targets are listed and watched while the store's revision grows
+    Then the next watch starts where the list ended
+
   Scenario: A dropped history asks for a new list
     When the targets are listed and then the history is dropped
     Then the watch ends with HistoryGoneError
--- a/tests/steps/platform_store_steps.py
+++ b/tests/steps/platform_store_steps.py
@@ -87,6 +87,17 @@
     _watch_after(context, lambda: None, seconds)
 
 
+@when("the targets are listed and watched while the store's revision grows")
+def when_grows(context):
+    context.listed_at = context.platform.rev
+    _watch_after(context, lambda: context.platform.put('other', 'x', {}), 0.2)
+
+
+@then('the next watch starts where the list ended')
+def then_same_start(context):
+    assert context.reading.revision == context.listed_at, context.reading
+
+
 @when('the targets are listed and then the history is dropped')
 def when_dropped(context):
     _watch_after(context, context.platform.compact, 2)
--- /dev/null
+++ b/tests/steps/region_state_steps.py
@@ -0,0 +1,129 @@
+"""Steps for what the leader of a region knows."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+
+from cowsliprack.coordination.region_state import RegionState, finish_order
+from cowsliprack.coordination.rotation import Rotation
+from cowsliprack.protocol.gateway_messages import MemberReport, WaitingGroup
+from cowsliprack.protocol.target import OrderKind
+from cowsliprack.state.engine_state import EngineOrder
+from cowsliprack.state.routing_table import EngineSpec
+from cowsliprack.state.target_registry import (
+    Holding,
+    TargetRecord,
+    TargetRegistry,
+    TargetState,
+)
+
+_NOW = 100.0
+
+
+def _state(context):
+    context.state = RegionState(7, 'i0', '127.0.0.1:1')
+    spec = EngineSpec(32, 1000, 160, 8, 3, {})
+    context.state.rotations_by_service['s'] = Rotation(spec)
+    context.registry = TargetRegistry()
+
+
+def _register(context, revision, **changes):
+    record = TargetRecord(
+        target_id='e1',
+        service='s',
+        address='127.0.0.1:2',
+        zone='z',
+        slots=32,
+        state=TargetState.ready,
+        born=5,
+        order_count=1,
+        holdings_by_model={'a': Holding(1)},
+    )
+    context.registry.apply([replace(record, **changes)], [], revision)
+    return context.state.use_registry(context.registry)
+
+
+def _engine(context):
+    return context.state.rotations_by_service['s'].engines_by_id['e1']
+
+
+@given('an engine that held a and has loaded b')
+def given_engine(context):
+    _state(context)
+    _register(context, 1)
+    engine = _engine(context)
+    engine.surveyed = True
+    engine.adapters_by_model = {'a': set()}
+    engine.order_count = 1
+    order = EngineOrder('e1', OrderKind.load, 'b')
+    engine.order = order
+    finish_order(engine, order, _NOW)
+
+
+@when('its entry comes, written during that load')
+def when_entry(context):
+    context.unknown = _register(context, 2)
+
+
+@when('its entry comes, written by another start')
+def when_restarted(context):
+    context.unknown = _register(context, 2, born=9)
+
+
+@then('the leader still counts a and b')
+def then_both(context):
+    assert set(_engine(context).adapters_by_model) == {'a', 'b'}
+
+
+@then('the leader counts nothing and surveys it')
+def then_surveys(context):
+    assert not _engine(context).adapters_by_model
+    assert context.unknown == [_engine(context)]
+
+
+def _report(sequence, waiting):
+    return MemberReport(
+        instance_id='i1',
+        address='127.0.0.1:3',
+        zone='z',
+        boot='b',
+        sequence=sequence,
+        stamp=1,
+        view_sequence=0,
+        view_fencing=0,
+        waiting=waiting,
+    )
+
+
+@given('an instance that waits for a')
+def given_waiting(context):
+    _state(context)
+    group = WaitingGroup('s', 'a', '', 1, 1.0, 5.0)
+    context.state.take_report(_report(5, (group,)), _NOW)
+    context.now = _NOW
+
+
+@when('it has been silent for {seconds:d} seconds')
+def when_silent(context, seconds):
+    context.now = _NOW + seconds
+
+
+@when('an older report of it comes without a wait')
+def when_older(context):
+    context.state.take_report(_report(4, ()), _NOW)
+
+
+@then('nothing waits')
+def then_nothing(context):
+    assert not context.state.groups('s', context.now)
+
+
+@then('limits are still divided with it')
+def then_divided(context):
+    assert context.state.member_count(context.now) == 1
+
+
+@then('a is still waited for')
+def then_waits(context):
+    groups = context.state.groups('s', context.now)
+    assert [group.model for group in groups] == ['a'], groups
