Say ready only once the targets are known

Ruled out: a slow service stand-in (the answer is the gateway's own). The new scenario fails without the change and passes with it.

--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -137,7 +137,10 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send connections here."""
-        return not self.draining and self.table.generation > 0
+        # Without the list of targets every request would be refused.
+        knows_targets = self.fleet.registry.revision >= 0
+        knows_routes = self.table.generation > 0
+        return not self.draining and knows_routes and knows_targets
 
     async def run(self) -> None:
         """Run until a signal, then stop gracefully."""
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -155,6 +155,10 @@
     When 3 seconds pass without a change
     Then the store was asked at most 8 times a second in all
 
+  Scenario: An instance that knows no targets yet is not ready
+    When g1 starts alone while the list of targets cannot be read
+    Then g1 is not ready until the list can be read
+
   Scenario: An instance starts while the store is away
     When g2 is killed and started again while the store is away for 2 seconds
     Then g2 becomes ready and serves an order
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -546,6 +546,27 @@
     world.platform.faults.outage = False
 
 
+@when('g1 starts alone while the list of targets cannot be read')
+def when_no_targets(context):
+    world = context.world
+    for name in ('g1', 'g2'):
+        world.kill(name)
+    world.platform.faults.refused_kinds = {'servers'}
+    world.launch('g1')
+    _wait_until(lambda: world.log('g1').count('"started"') >= 2, 10)
+    _wait_until(
+        lambda: world.log('g1').count('configuration_in_force') >= 2, 10
+    )
+    time.sleep(0.3)
+
+
+@then('g1 is not ready until the list can be read')
+def then_ready_later(context):
+    assert not context.world.is_ready('g1')
+    context.world.platform.faults.refused_kinds = set()
+    context.world.wait_ready('g1')
+
+
 @then('g2 becomes ready and serves an order')
 def then_serves(context):
     context.world.wait_ready('g2')
--- a/tools/standins/objects.py
+++ b/tools/standins/objects.py
@@ -31,6 +31,7 @@
     :param late_writes: writes that get no answer and are carried out after
         this many seconds each.
     :param refused: calls that are answered with 429.
+    :param refused_kinds: kinds of which every call is answered with 503.
     """
 
     outage: bool = False
@@ -38,6 +39,7 @@
     lost_answers: int = 0
     late_writes: list[float] = field(default_factory=list)
     refused: int = 0
+    refused_kinds: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -124,6 +126,9 @@
             await request.answer({}, 429)
         else:
             kind, _, name = request.path.removeprefix(_PREFIX).partition('/')
+            if kind in self.faults.refused_kinds:
+                await request.answer({}, _UNAVAILABLE)
+                return
             await self._dispatch(request, kind, name)
 
     async def _dispatch(
