A stopping instance answers every request before its end

They are refused once the balancer sends nothing more (shutting_down, not run), and what runs at the end gets 504 0.4 s before the process closes. Ruled out earlier: a fault in a handler (no log line of one).

--- a/cowsliprack/coordination/waiting_room.py
+++ b/cowsliprack/coordination/waiting_room.py
@@ -29,9 +29,13 @@
 
 @dataclass(slots=True)
 class WaitingRoom:
-    """Waiting requests by service, model and adapter."""
+    """Waiting requests by service, model and adapter.
+
+    :param closed: whether the instance stops, so that nothing may wait.
+    """
 
     waiters_by_key: dict[GroupKey, set[Waiter]] = field(default_factory=dict)
+    closed: bool = False
 
     @contextmanager
     def entered(self, waiter: Waiter) -> Iterator[Waiter]:
@@ -48,6 +52,11 @@
             if not group:
                 self.waiters_by_key.pop(waiter.key, None)
 
+    def close(self) -> None:
+        """Have every request look once more, then leave."""
+        self.closed = True
+        self.wake()
+
     def wake(self) -> None:
         """Have every request look for a target again."""
         for group in self.waiters_by_key.values():
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -37,6 +37,8 @@
 _UNREADY_SECONDS = 2.5
 # Kept of the time between SIGTERM and SIGKILL, seconds.
 _GRACE_MARGIN_SECONDS = 1.2
+# Kept for the final answers of requests that did not end in time, seconds.
+_FINAL_ANSWER_SECONDS = 0.4
 # Seconds for which changes of targets are gathered into one call.
 _GATHER_SECONDS = 0.2
 # Instances that share a budget of repeats; part of the budget that is used.
@@ -184,7 +186,8 @@
         """Serve on while the balancer still sends connections, then close.
 
         Connections without a request are closed first, so that no request is
-        taken that could not be finished before the process is killed.
+        taken that could not be finished before the process is killed. What
+        waits for a model then is refused, since others can still serve it.
         """
         self.draining = True
         self.region.leaving = True
@@ -192,13 +195,20 @@
         await self.region.release()
         await anyio.sleep(_UNREADY_SECONDS)
         stopped.set()
-        with anyio.move_on_after(self._closing_seconds()):
-            await self._closed.wait()
+        self.room.close()
+        await self._wait_closed(self._closing_seconds())
         _log.info('drained', requests=self.server.open_requests)
+        self.server.relay.end_requests()
+        await self._wait_closed(_FINAL_ANSWER_SECONDS)
+
+    async def _wait_closed(self, seconds: float) -> None:
+        with anyio.move_on_after(seconds):
+            await self._closed.wait()
 
     def _closing_seconds(self) -> float:
-        grace = self.settings.grace_seconds - _GRACE_MARGIN_SECONDS
-        return max(grace - _UNREADY_SECONDS, 0)
+        """Return for how long requests go on once connections close."""
+        kept = _GRACE_MARGIN_SECONDS + _FINAL_ANSWER_SECONDS + _UNREADY_SECONDS
+        return max(self.settings.grace_seconds - kept, 0)
 
     async def _serve_http(self, stopped: anyio.Event) -> None:
         settings = self.settings
@@ -211,7 +221,7 @@
             self._handle,
             addresses,
             stopped,
-            self._closing_seconds(),
+            self._closing_seconds() + _FINAL_ANSWER_SECONDS,
         )
         self._closed.set()
 
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -33,6 +33,8 @@
 # A request that may be sent again leaves a silent target after this multiple
 # of its latency target, so that a second target can still answer in time.
 _SILENCE_FACTOR = 2.5
+# After which a request that a stopping instance refused may come back.
+_STOP_RETRY_SECONDS = 0.1
 _SERVER_ERROR = 500
 _OK = 200
 
@@ -67,6 +69,14 @@
     clock: Callable[[], float]
     rng: random.Random = field(default_factory=random.Random)
     budgets_by_service: dict[str, RetryBudget] = field(default_factory=dict)
+    ended: bool = False
+    _scopes: set[anyio.CancelScope] = field(default_factory=set)
+
+    def end_requests(self) -> None:
+        """Give every request its final answer now: the instance stops."""
+        self.ended = True
+        for scope in self._scopes:
+            scope.cancel()
 
     async def serve(self, job: RouteJob) -> None:
         """Serve one request to its end.
@@ -88,14 +98,21 @@
             raise
 
     async def _serve_in_time(self, job: RouteJob) -> None:
-        with anyio.move_on_after(job.deadline - self.clock()):
-            await self._serve_attempts(job)
-            return
+        scope = anyio.move_on_after(job.deadline - self.clock())
+        self._scopes.add(scope)
+        try:
+            with scope:
+                await self._serve_attempts(job)
+                return
+        finally:
+            self._scopes.discard(scope)
         if job.is_in_doubt():
             raise ServingError(
                 ErrorKind.answer_timeout,
                 'the target has not answered in time',
             )
+        if self.ended:
+            raise _shutting_down()
         raise ServingError(
             ErrorKind.deadline_passed,
             'no target was free in time',
@@ -213,6 +230,8 @@
         waiter: Waiter,
     ) -> TargetRecord:
         while True:
+            if self.room.closed:
+                raise _shutting_down()
             left = waiter.gives_up_at - self.clock()
             if left <= 0:
                 raise ServingError(
@@ -488,6 +507,15 @@
         self.choice.succeed(target.target_id, now - sent_at)
 
 
+def _shutting_down() -> ServingError:
+    # The other instances take the request as soon as it comes back.
+    return ServingError(
+        ErrorKind.shutting_down,
+        'the instance stops',
+        retry_after=_STOP_RETRY_SECONDS,
+    )
+
+
 def pick_service(
     services: tuple[tuple[str, float], ...],
     rng: random.Random,
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -143,6 +143,18 @@
     When g1 is told to stop and the caller waits for 4 seconds
     Then the connection has been closed without a request on it
 
+  Scenario: A planned stop refuses what waits for a model
+    Given the next 2 orders of each engine are carried out 9 seconds late
+    When g1 is told to stop while a caller waits for a stream of m2
+    Then the caller is refused within 3.4 seconds with shutting_down
+    And it is told to come back within a second
+
+  Scenario: A planned stop answers a request whose target is silent
+    Given services s1 and s2 run requests without an answer
+    When g1 is told to stop while a caller waits for an order
+    Then the caller gets a 504 that names answer_timeout
+    And g1 exits within 3 seconds
+
   Scenario: An adapter that is on its way takes a place
     Given an engine whose report lists an adapter as pending
     Then the survey of the engine counts it
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -506,6 +506,58 @@
     assert context.connection.recv(10) == b''
 
 
+def _ask_while_stopping(context, ask):
+    with ThreadPoolExecutor(1) as callers:
+        asking = callers.submit(ask)
+        time.sleep(0.3)
+        context.world.signal('g1', signal.SIGTERM)
+        began_at = time.monotonic()
+        context.answer = asking.result()
+    context.seconds = time.monotonic() - began_at
+
+
+@when('g1 is told to stop while a caller waits for a stream of {model}')
+def when_stop_waiting(context, model):
+    _ask_while_stopping(
+        context, lambda: _stream(context, 'g1', model, '/report/')
+    )
+
+
+@given('services s1 and s2 run requests without an answer')
+def given_silent(context):
+    for name in ('s1', 's2'):
+        context.world.engines[name].faults.silent_runs = 1
+
+
+@when('g1 is told to stop while a caller waits for an order')
+def when_stop_order(context):
+    _, headers = _headers()
+    _ask_while_stopping(
+        context,
+        lambda: _ask(context, 'g1', 'POST', '/order/x', headers, b'{}'),
+    )
+
+
+@then('the caller is refused within {seconds:g} seconds with {kind}')
+def then_refused_kind(context, seconds, kind):
+    status, _, body = context.answer
+    assert status == 503, context.answer
+    assert json.loads(body)['error']['kind'] == kind, body
+    assert context.seconds < seconds, context.seconds
+
+
+@then('it is told to come back within a second')
+def then_come_back(context):
+    _, headers, _ = context.answer
+    assert 0 < float(headers['retry-after']) <= 1, headers
+
+
+@then('the caller gets a {status:d} that names {kind}')
+def then_named(context, status, kind):
+    assert context.answer[0] == status, context.answer
+    assert json.loads(context.answer[2])['error']['kind'] == kind
+
+
 @given('an engine whose report lists an adapter as pending')
 def given_pending(context):
     context.report = EngineReport(
--- a/tools/standins/route_engine.py
+++ b/tools/standins/route_engine.py
@@ -38,6 +38,7 @@
     :param break_streams: streams that are cut after this many events each.
     :param failed_answers: answers with status 500.
     :param wrong_ids: answers that carry the id of another request.
+    :param silent_runs: requests that run without an answer.
     """
 
     lost_orders: int = 0
@@ -46,6 +47,7 @@
     break_streams: list[int] = field(default_factory=list)
     wrong_ids: int = 0
     failed_answers: int = 0
+    silent_runs: int = 0
 
 
 @dataclass(slots=True)
@@ -260,6 +262,10 @@
         await request.write(b'', more=False)
 
     async def _answer(self, request: Request, request_id: str) -> None:
+        if self.faults.silent_runs:
+            self.faults.silent_runs -= 1
+            await request.hang()
+            return
         if self.faults.wrong_ids:
             self.faults.wrong_ids -= 1
             request_id = 'of-another-request'
