--- a/cowsliprack/coordination/rotation.py
+++ b/cowsliprack/coordination/rotation.py
@@ -50,6 +50,9 @@
 _COLD_SHARE = 0.1
 _COLD_LOADS = 2
 _QUIET_COLD_LOADS = 4
+# Requests served in time for which as many such loads are worth it at any time
+# as while no requests come: a busy model whose engines are lost.
+_WORTHY = 5
 # Requests a second below which engines have time for such loads.
 _QUIET_RATE = 0.2
 # Seconds for which the engines must have been the same before models that lie
@@ -175,11 +178,11 @@
         :param engine: that loads it.
         :param model: to load.
         """
-        if model.name in engine.record.in_memory:
-            return model.warm_seconds
-        if model.name in engine.record.on_disk:
-            return model.disk_seconds
-        return model.cold_seconds
+        if self.is_cold(engine, model.name):
+            return model.cold_seconds
+        # What the entry says of copies in memory is old by now: the unload
+        # that makes room puts another model there.
+        return max(model.disk_seconds, model.warm_seconds)
 
     def is_cold(self, engine: EngineState, model: str) -> bool:
         """Return whether an engine must load a model from the weight store.
@@ -367,7 +370,7 @@
         if not choices:
             return []
         best = min(choices, key=lambda choice: choice.cost)
-        if best.is_cold and not self._may_load_cold(now):
+        if best.is_cold and not self._may_load_cold(wish, now):
             return []
         best.engine.closing.update(best.victims)
         best.engine.assigned = name
@@ -439,7 +442,7 @@
             return self.spec.weights_size
         return model.size + adapters * model.adapter_size
 
-    def _may_load_cold(self, now: float) -> bool:
+    def _may_load_cold(self, wish: _Wish, now: float) -> bool:
         since = now - _COLD_WINDOW_SECONDS
         self._cold_starts = [at for at in self._cold_starts if at > since]
         limit = self.spec.loads_per_second * _COLD_WINDOW_SECONDS
@@ -449,7 +452,7 @@
         )
         is_quiet = self.rates.total(now) < _QUIET_RATE
         most = _QUIET_COLD_LOADS
-        if not is_quiet:
+        if wish.worth < _WORTHY and not is_quiet:
             share = len(self._index.usable) * _COLD_SHARE
             most = max(1, min(_COLD_LOADS, round(share)))
         return len(self._cold_starts) < limit and loading < most
--- a/cowsliprack/transport/route_job.py
+++ b/cowsliprack/transport/route_job.py
@@ -26,6 +26,7 @@
         event, seconds.
     :param tried: targets to which the request was sent.
     :param sends: how often it was sent.
+    :param ran_on: targets on which it may have run.
     :param runs: sends after which it may have run.
     :param may_have_run: its bytes went out and no target denied running it.
     :param trace: of the send whose fate is not known yet.
@@ -45,6 +46,7 @@
     first_by: float
     body: bytes = b''
     tried: list[str] = field(default_factory=list)
+    ran_on: set[str] = field(default_factory=set)
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
@@ -64,12 +66,21 @@
         return self.may_have_run or is_open
 
     def may_send_to(self, target_id: str) -> bool:
-        """Return whether one more target may get the request.
+        """Return whether a target may get the request.
+
+        Targets that were not reached, or refused it without running it, do
+        not count among those that a route allows.
 
         :param target_id: of the target.
         """
-        known = set(self.tried)
-        return target_id in known or len(known) < self.route.attempts
+        return len(self.ran_on | {target_id}) <= self.route.attempts
+
+    def may_leave(self, target_id: str) -> bool:
+        """Return whether a further target may get the request after one.
+
+        :param target_id: that has the request now.
+        """
+        return len(self.ran_on | {target_id}) < self.route.attempts
 
     def is_repeatable(self) -> bool:
         """Return whether a run that broke off may be followed by another."""
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -141,6 +141,7 @@
         job.trace = None
         if failure.ran is Ran.may_have_run:
             job.may_have_run = True
+            job.ran_on.add(target.target_id)
             job.runs += 1
         self.choice.fail(target.target_id, now)
         retry, reason = self._may_retry(job, failure, now)
@@ -345,7 +346,8 @@
         job.trace = trace
         request = self._build(job, target, sent_at, trace)
         try:
-            async with self._opened(job, request, sent_at) as answer:
+            patience = self._patience(job, target, sent_at)
+            async with self._opened(request, patience) as answer:
                 await self._take_answer(job, target, answer, sent_at)
         except (httpx.HTTPError, TimeoutError) as failure:
             raise TargetError(
@@ -357,11 +359,10 @@
     @asynccontextmanager
     async def _opened(
         self,
-        job: RouteJob,
         request: httpx.Request,
-        sent_at: float,
+        patience: float | None,
     ) -> AsyncIterator[httpx.Response]:
-        with anyio.fail_after(self._patience(job, sent_at)):
+        with anyio.fail_after(patience):
             answer = await self.client.send(request, stream=True)
         try:
             yield answer
@@ -406,10 +407,14 @@
             extensions={'trace': trace},
         )
 
-    def _patience(self, job: RouteJob, now: float) -> float | None:
+    def _patience(
+        self,
+        job: RouteJob,
+        target: TargetRecord,
+        now: float,
+    ) -> float | None:
         """Return how long a target may say nothing, in seconds."""
-        others = len(set(job.tried)) < job.route.attempts
-        if not (job.is_repeatable() and others):
+        if not (job.is_repeatable() and job.may_leave(target.target_id)):
             return None
         patience = job.route.latency_target * _SILENCE_FACTOR
         return patience if now + patience < job.deadline else None
@@ -442,16 +447,16 @@
             await self._pass_stream(job, target, answer, sent_at)
             return
         body = await answer.aread()
-        if status >= _SERVER_ERROR and self._may_try_other(job):
+        if status >= _SERVER_ERROR and self._may_try_other(job, target):
             raise _FailedAnswerError(f'status {status}', Ran.may_have_run)
         self._note_first_byte(job, target, sent_at)
         await self._pass_whole(job, answer, body)
 
-    def _may_try_other(self, job: RouteJob) -> bool:
+    def _may_try_other(self, job: RouteJob, target: TargetRecord) -> bool:
         # Without a further send the failure is the caller's answer.
         return (
             job.is_repeatable()
-            and len(set(job.tried)) < job.route.attempts
+            and job.may_leave(target.target_id)
             and job.runs + 1 < job.route.attempts
             and self._budget(job).spend(self.clock())
         )
--- a/tests/coordination/rotation.feature
+++ b/tests/coordination/rotation.feature
@@ -132,6 +132,26 @@
     When the rotation plans for 1 second
     Then 3 loads were ordered
 
+  Scenario: A busy model whose engines are lost is loaded beside another load
+    Given engine e1 holds a
+    And engine e2 holds b
+    And a is asked for often
+    And 1 request waits for f
+    When the rotation plans
+    And 6 requests at different instances wait for e
+    And the rotation plans
+    Then the orders are "e2 load e"
+
+  Scenario: A rare model waits while another one is loaded from the weight store
+    Given engine e1 holds a
+    And engine e2 holds b
+    And a is asked for often
+    And 1 request waits for f
+    When the rotation plans
+    And 1 request waits for e
+    And the rotation plans
+    Then the orders are ""
+
   Scenario: The group that misses its latency target first goes first
     Given engine e1 holds a, b and has c, d on disk
     And 1 request waits for c and misses its target in 1.5 seconds
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -115,6 +115,16 @@
     When a caller sends 20 lookups to g1 at once
     Then all are answered 200 within 0.9 seconds
 
+  Scenario: An order goes to another target when one was not reached
+    Given a service s3 whose host drops every packet
+    When a caller sends 20 orders to g1 at once
+    Then all are answered 200 within 0.9 seconds
+
+  Scenario: An order goes to another target when one refused it without running
+    Given service s1 refuses 60 requests without running them
+    When a caller sends 6 orders to g1 one after the other
+    Then all are answered 200 within 0.9 seconds
+
   Scenario: A killed leader is replaced
     Given a gateway leads
     When the leading gateway is killed
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -490,15 +490,35 @@
     _wait_until(lambda: 's3 ready' in context.world.log('g1'), 5)
 
 
-@when('a caller sends {count:d} lookups to g1 at once')
-def when_lookups(context, count):
+@given('service {name} refuses {count:d} requests without running them')
+def given_refusing(context, name, count):
+    context.world.engines[name].faults.refuse_requests = count
+
+
+_METHOD_BY_KIND = {
+    'lookups': ('GET', '/stock/x'),
+    'orders': ('POST', '/order/x'),
+}
+
+
+@when('a caller sends {count:d} {kind} to g1 at once')
+def when_lookups(context, count, kind):
+    _send_many(context, count, kind, count)
+
+
+@when('a caller sends {count:d} {kind} to g1 one after the other')
+def when_lookups_in_turn(context, count, kind):
+    _send_many(context, count, kind, 1)
+
+
+def _send_many(context, count, kind, at_once):
     def look_up(_):
         _, headers = _headers()
         began_at = time.monotonic()
-        answer = _ask(context, 'g1', 'GET', '/stock/x', headers)
+        answer = _ask(context, 'g1', *_METHOD_BY_KIND[kind], headers)
         return answer, time.monotonic() - began_at
 
-    with ThreadPoolExecutor(count) as callers:
+    with ThreadPoolExecutor(at_once) as callers:
         context.lookups = list(callers.map(look_up, range(count)))
 
 
--- a/tests/steps/rotation_steps.py
+++ b/tests/steps/rotation_steps.py
@@ -98,6 +98,7 @@
 @given('{count:d} request waits for {name:S}')
 @given('{count:d} requests at different instances wait for {name:S}')
 @when('{count:d} request waits for {name:S}')
+@when('{count:d} requests at different instances wait for {name:S}')
 def given_waiting(context, count, name):
     model, _, adapter = name.partition('/')
     _wait(context, model, adapter, count=count)
