--- a/cowsliprack/coordination/target_choice.py
+++ b/cowsliprack/coordination/target_choice.py
@@ -240,11 +240,14 @@
 
         :param known: ids of targets that still exist.
         """
-        kept = set(known)
+        # Requests that still run there are counted when they end.
+        kept = set(known).union(+self.own_by_id)
         for memory in (
+            self.own_by_id,
             self.told_by_id,
             self.own_when_told_by_id,
             self.health_by_id,
+            self._names_by_id,
         ):
             for target_id in set(memory) - kept:
                 memory.pop(target_id, None)
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -27,11 +27,17 @@
 from cowsliprack.transport.peer_sockets import PeerSockets
 from cowsliprack.transport.region import Region
 from cowsliprack.transport.region_term import RegionNeeds
-from cowsliprack.transport.responses import Exchange, Receive, Send
+from cowsliprack.transport.responses import (
+    Exchange,
+    Receive,
+    Send,
+    exchange_of,
+)
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.route_server import RouteServer
 from cowsliprack.transport.signals import wait_for_stop
 from cowsliprack.transport.store_reader import KindReader, KindReading
+from cowsliprack.transport.target_finder import TargetFinder
 
 # After SIGTERM the balancer needs this long to stop sending connections.
 _UNREADY_SECONDS = 2.5
@@ -110,8 +116,15 @@
             dialect=self.parts.dialect,
             fleet=self.fleet,
             choice=choice,
-            room=self.room,
-            freshness=self.freshness,
+            finder=TargetFinder(
+                fleet=self.fleet,
+                choice=choice,
+                room=self.room,
+                freshness=self.freshness,
+                table=self.current_table,
+                demand_changed=self.region.demand_changed,
+                clock=read_clock,
+            ),
             new_budget=lambda: _retry_budget(settings),
             table=self.current_table,
             demand_changed=self.region.demand_changed,
@@ -236,9 +249,9 @@
         if address == self.settings.front_address:
             await self.server(scope, receive, send)
         elif address == self.settings.ready_address:
-            await self._answer_ready(_exchange(scope, receive, send))
+            await self._answer_ready(exchange_of(scope, receive, send))
         else:
-            await self._answer_metrics(_exchange(scope, receive, send))
+            await self._answer_metrics(exchange_of(scope, receive, send))
 
     async def _answer_ready(self, exchange: Exchange) -> None:
         ready = exchange.path == self.parts.ready_path and self.is_ready()
@@ -343,15 +356,3 @@
         capacity=max(slack / 2, 2),
         tokens=max(slack / 2, 2),
     )
-
-
-def _exchange(scope: dict[str, Any], receive: Receive, send: Send) -> Exchange:
-    return Exchange(
-        method=scope['method'],
-        path=scope['path'],
-        raw_path=scope['path'],
-        query=scope['query_string'],
-        headers=scope['headers'],
-        receive=receive,
-        send=send,
-    )
--- a/cowsliprack/transport/http_api.py
+++ b/cowsliprack/transport/http_api.py
@@ -29,7 +29,12 @@
     key_digest,
 )
 from cowsliprack.transport.forward import Forwarder, ForwardJob
-from cowsliprack.transport.responses import Exchange, Receive, Send
+from cowsliprack.transport.responses import (
+    Exchange,
+    Receive,
+    Send,
+    exchange_of,
+)
 
 _CHAT_PATH = '/v1/chat/completions'
 _SERVICE_PREFIX = '/services/'
@@ -71,15 +76,7 @@
             return
         if scope['type'] != 'http':
             return
-        exchange = Exchange(
-            method=scope['method'],
-            path=scope['path'],
-            raw_path=_raw_path(scope),
-            query=scope['query_string'],
-            headers=scope['headers'],
-            receive=receive,
-            send=send,
-        )
+        exchange = exchange_of(scope, receive, send)
         await self._handle(exchange)
 
     async def _handle(self, exchange: Exchange) -> None:
@@ -257,12 +254,6 @@
         )
 
 
-def _raw_path(scope: dict[str, Any]) -> str:
-    raw = scope.get('raw_path') or scope['path'].encode()
-    path, _, _ = raw.decode('latin-1').partition('?')
-    return path
-
-
 def _split_service_path(raw_path: str) -> tuple[str, str]:
     """Return the route and the path that the service gets."""
     route, slash, rest = raw_path.removeprefix(_SERVICE_PREFIX).partition('/')
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -105,6 +105,8 @@
 
     def registry_changed(self) -> None:
         """Take a new list of targets into account."""
+        registry = self.needs.fleet.registry
+        self.needs.choice.forget(registry.records_by_id)
         self.needs.room.wake()
         if self.term is not None:
             self.term.use_registry()
--- a/cowsliprack/transport/responses.py
+++ b/cowsliprack/transport/responses.py
@@ -1,7 +1,7 @@
 """Answers of the callers' HTTP API, in the ASGI protocol."""
 
 import math
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -177,3 +177,29 @@
             status=error.status,
             headers=headers,
         )
+
+
+def exchange_of(
+    scope: Mapping[str, Any],
+    receive: Receive,
+    send: Send,
+    closing: Callable[[], bool] = _stays_open,
+) -> Exchange:
+    """Return the exchange of one request.
+
+    :param scope: of the ASGI protocol.
+    :param receive: of the ASGI protocol.
+    :param send: of the ASGI protocol.
+    :param closing: whether the connection is to be closed after the answer.
+    """
+    raw_path = scope.get('raw_path') or scope['path'].encode()
+    return Exchange(
+        method=scope['method'],
+        path=scope['path'],
+        raw_path=raw_path.partition(b'?')[0].decode('latin-1'),
+        query=scope['query_string'],
+        headers=scope['headers'],
+        receive=receive,
+        send=send,
+        closing=closing,
+    )
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -9,10 +9,8 @@
 import httpx
 
 from cowsliprack.coordination.fleet_view import FleetView
-from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.retry import RetryBudget
 from cowsliprack.coordination.target_choice import TargetChoice
-from cowsliprack.coordination.waiting_room import Waiter, WaitingRoom
 from cowsliprack.exceptions import ErrorKind, Ran, ServingError, TargetError
 from cowsliprack.logs import log_decision
 from cowsliprack.protocol.dialect import Dialect, SendFacts
@@ -20,9 +18,8 @@
 from cowsliprack.state.target_registry import TargetRecord
 from cowsliprack.transport.route_job import RouteJob
 from cowsliprack.transport.target_client import SendTrace
+from cowsliprack.transport.target_finder import TargetFinder, shutting_down
 
-# Seconds between looks for a target while nothing is told to have changed.
-_LOOK_SECONDS = 0.25
 # Shortest time in which a target can do anything useful, seconds.
 _SHORTEST_RUN = 0.03
 # Sends of one request at most, refusals of targets included.
@@ -33,8 +30,6 @@
 # A request that may be sent again leaves a silent target after this multiple
 # of its latency target, so that a second target can still answer in time.
 _SILENCE_FACTOR = 2.5
-# After which a request that a stopping instance refused may come back.
-_STOP_RETRY_SECONDS = 0.1
 _SERVER_ERROR = 500
 _OK = 200
 
@@ -51,6 +46,7 @@
 class RouteRelay:
     """Sends requests of one instance and passes on what comes back.
 
+    :param finder: finds the targets.
     :param new_budget: returns the budget of repeats of a further service.
     :param table: returns the configuration in force.
     :param demand_changed: called when a request begins to wait, and when the
@@ -62,8 +58,7 @@
     dialect: Dialect
     fleet: FleetView
     choice: TargetChoice
-    room: WaitingRoom
-    freshness: Freshness
+    finder: TargetFinder
     new_budget: Callable[[], RetryBudget]
     table: Callable[[], RoutingTable]
     demand_changed: Callable[[], None]
@@ -113,7 +108,7 @@
                 'the target has not answered in time',
             )
         if self.ended:
-            raise _shutting_down()
+            raise shutting_down()
         raise ServingError(
             ErrorKind.deadline_passed,
             'no target was free in time',
@@ -122,7 +117,7 @@
 
     async def _serve_attempts(self, job: RouteJob) -> None:
         while True:
-            target = await self._find_target(job)
+            target = await self.finder.find(job)
             try:
                 await self._attempt(job, target)
             except TargetError as failure:
@@ -202,109 +197,6 @@
             )
         return ServingError(ErrorKind.target_failed, str(failure))
 
-    async def _find_target(self, job: RouteJob) -> TargetRecord:
-        target = self._pick(job)
-        if target is not None:
-            return target
-        facts = job.facts
-        if not facts.model:
-            raise ServingError(
-                ErrorKind.no_target,
-                'no target of the service is ready',
-                retry_after=1,
-            )
-        gives_up_at = job.deadline
-        if not job.exchange.started:
-            gives_up_at = min(job.first_by, job.deadline)
-        waiter = Waiter(
-            key=(job.service, facts.model, facts.adapter),
-            since=job.arrived_at,
-            target_at=job.target_at,
-            gives_up_at=gives_up_at,
-        )
-        with self.room.entered(waiter):
-            self.demand_changed()
-            return await self._wait_for_target(job, waiter)
-
-    async def _wait_for_target(
-        self,
-        job: RouteJob,
-        waiter: Waiter,
-    ) -> TargetRecord:
-        while True:
-            if self.room.closed:
-                raise _shutting_down()
-            left = waiter.gives_up_at - self.clock()
-            if left <= 0:
-                raise ServingError(
-                    ErrorKind.cold_start_unavailable,
-                    'the model was not loaded in time',
-                    retry_after=self.rng.uniform(0.5, 1.5),
-                )
-            changed = waiter.changed
-            with anyio.move_on_after(min(left, _LOOK_SECONDS)):
-                await changed.wait()
-            target = self._pick(job)
-            if target is not None:
-                return target
-
-    def _pick(self, job: RouteJob) -> TargetRecord | None:
-        """Return a target, or ``None`` when the request must wait.
-
-        :raises ServingError: the request may not run any more.
-        """
-        now = self.clock()
-        self._check_admission(job, now)
-        facts = job.facts
-        found = self.fleet.candidates(
-            job.service,
-            facts.model,
-            facts.adapter,
-            now,
-        )
-        allowed = [
-            record for record in found if job.may_send_to(record.target_id)
-        ]
-        untried = [
-            record for record in allowed if record.target_id not in job.tried
-        ]
-        prompt = facts.prompt_parts[-1][0] if facts.prompt_parts else ''
-        return self.choice.choose(untried or allowed, now, prompt)
-
-    def _check_admission(self, job: RouteJob, now: float) -> None:
-        """Check again what may have changed while the request waited."""
-        table = self.table()
-        if job.organisation is not None:
-            self._check_key(job, table, now)
-        route = table.find_route(job.host, job.path)
-        if route is None:
-            raise ServingError(
-                ErrorKind.unknown_route,
-                'the route has been removed',
-            )
-        services = {name for name, _ in route.services}
-        if job.service not in services and not job.sends:
-            job.service = pick_service(route.services, self.rng)
-
-    def _check_key(
-        self,
-        job: RouteJob,
-        table: RoutingTable,
-        now: float,
-    ) -> None:
-        known = table.organisations_by_key.get(job.facts.key)
-        if known is None or known.name != job.organisation_name():
-            raise ServingError(
-                ErrorKind.key_unknown,
-                'the key has been withdrawn',
-            )
-        if not self.freshness.is_fresh(now) and not job.exchange.started:
-            raise ServingError(
-                ErrorKind.configuration_stale,
-                'whether the key is still valid is not known',
-                retry_after=1,
-            )
-
     async def _attempt(self, job: RouteJob, target: TargetRecord) -> None:
         now = self.clock()
         job.sends += 1
@@ -510,27 +402,3 @@
         now = self.clock()
         job.first_byte_at = now
         self.choice.succeed(target.target_id, now - sent_at)
-
-
-def _shutting_down() -> ServingError:
-    # The other instances take the request as soon as it comes back.
-    return ServingError(
-        ErrorKind.shutting_down,
-        'the instance stops',
-        retry_after=_STOP_RETRY_SECONDS,
-    )
-
-
-def pick_service(
-    services: tuple[tuple[str, float], ...],
-    rng: random.Random,
-) -> str:
-    """Return one of a route's services by their shares.
-
-    :param services: names and shares.
-    :param rng: source of the choice.
-    """
-    if len(services) == 1:
-        return services[0][0]
-    names = [name for name, _ in services]
-    return rng.choices(names, [share for _, share in services])[0]
--- a/cowsliprack/transport/route_server.py
+++ b/cowsliprack/transport/route_server.py
@@ -21,9 +21,15 @@
     Route,
     RoutingTable,
 )
-from cowsliprack.transport.responses import Exchange, Receive, Send
+from cowsliprack.transport.responses import (
+    Exchange,
+    Receive,
+    Send,
+    exchange_of,
+)
 from cowsliprack.transport.route_job import RouteJob
-from cowsliprack.transport.route_relay import RouteRelay, pick_service
+from cowsliprack.transport.route_relay import RouteRelay
+from cowsliprack.transport.target_finder import pick_service
 
 # A stream's caller leaves after the longest of these without an event: a
 # time in seconds, and multiples of the latency target and the longest pause.
@@ -71,17 +77,7 @@
         :param receive: of the ASGI protocol.
         :param send: of the ASGI protocol.
         """
-        raw_path = scope.get('raw_path') or scope['path'].encode()
-        exchange = Exchange(
-            method=scope['method'],
-            path=scope['path'],
-            raw_path=raw_path.partition(b'?')[0].decode('latin-1'),
-            query=scope['query_string'],
-            headers=scope['headers'],
-            receive=receive,
-            send=send,
-            closing=self.closing,
-        )
+        exchange = exchange_of(scope, receive, send, self.closing)
         self.open_requests += 1
         try:
             await self._handle(exchange)
--- /dev/null
+++ b/cowsliprack/transport/target_finder.py
@@ -0,0 +1,174 @@
+"""Finds the target of one request, or has the request wait for one."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from cowsliprack.coordination.fleet_view import FleetView
+from cowsliprack.coordination.freshness import Freshness
+from cowsliprack.coordination.target_choice import TargetChoice
+from cowsliprack.coordination.waiting_room import Waiter, WaitingRoom
+from cowsliprack.exceptions import ErrorKind, ServingError
+from cowsliprack.state.routing_table import RoutingTable
+from cowsliprack.state.target_registry import TargetRecord
+from cowsliprack.transport.route_job import RouteJob
+
+# Seconds between looks for a target while nothing is told to have changed.
+_LOOK_SECONDS = 0.25
+# After which a request that a stopping instance refused may come back.
+_STOP_RETRY_SECONDS = 0.1
+
+
+@dataclass(slots=True)
+class TargetFinder:
+    """Looks for targets and keeps the requests that wait for a model.
+
+    :param table: returns the configuration in force.
+    :param demand_changed: called when a request begins to wait.
+    :param clock: seconds; goes on during suspension.
+    """
+
+    fleet: FleetView
+    choice: TargetChoice
+    room: WaitingRoom
+    freshness: Freshness
+    table: Callable[[], RoutingTable]
+    demand_changed: Callable[[], None]
+    clock: Callable[[], float]
+    rng: random.Random = field(default_factory=random.Random)
+
+    async def find(self, job: RouteJob) -> TargetRecord:
+        """Return the target for a request, waiting for its model if need be.
+
+        :param job: admitted request.
+        :raises ServingError: there will be none in time, or the request may
+            not run any more.
+        """
+        target = self._pick(job)
+        if target is not None:
+            return target
+        facts = job.facts
+        if not facts.model:
+            raise ServingError(
+                ErrorKind.no_target,
+                'no target of the service is ready',
+                retry_after=1,
+            )
+        gives_up_at = job.deadline
+        if not job.exchange.started:
+            gives_up_at = min(job.first_by, job.deadline)
+        waiter = Waiter(
+            key=(job.service, facts.model, facts.adapter),
+            since=job.arrived_at,
+            target_at=job.target_at,
+            gives_up_at=gives_up_at,
+        )
+        with self.room.entered(waiter):
+            self.demand_changed()
+            return await self._wait_for_target(job, waiter)
+
+    async def _wait_for_target(
+        self,
+        job: RouteJob,
+        waiter: Waiter,
+    ) -> TargetRecord:
+        while True:
+            if self.room.closed:
+                raise shutting_down()
+            left = waiter.gives_up_at - self.clock()
+            if left <= 0:
+                raise ServingError(
+                    ErrorKind.cold_start_unavailable,
+                    'the model was not loaded in time',
+                    retry_after=self.rng.uniform(0.5, 1.5),
+                )
+            changed = waiter.changed
+            with anyio.move_on_after(min(left, _LOOK_SECONDS)):
+                await changed.wait()
+            target = self._pick(job)
+            if target is not None:
+                return target
+
+    def _pick(self, job: RouteJob) -> TargetRecord | None:
+        """Return a target, or ``None`` when the request must wait.
+
+        :raises ServingError: the request may not run any more.
+        """
+        now = self.clock()
+        self._check_admission(job, now)
+        facts = job.facts
+        found = self.fleet.candidates(
+            job.service,
+            facts.model,
+            facts.adapter,
+            now,
+        )
+        allowed = [
+            record for record in found if job.may_send_to(record.target_id)
+        ]
+        untried = [
+            record for record in allowed if record.target_id not in job.tried
+        ]
+        prompt = facts.prompt_parts[-1][0] if facts.prompt_parts else ''
+        return self.choice.choose(untried or allowed, now, prompt)
+
+    def _check_admission(self, job: RouteJob, now: float) -> None:
+        """Check again what may have changed while the request waited."""
+        table = self.table()
+        if job.organisation is not None:
+            self._check_key(job, table, now)
+        route = table.find_route(job.host, job.path)
+        if route is None:
+            raise ServingError(
+                ErrorKind.unknown_route,
+                'the route has been removed',
+            )
+        services = {name for name, _ in route.services}
+        if job.service not in services and not job.sends:
+            job.service = pick_service(route.services, self.rng)
+
+    def _check_key(
+        self,
+        job: RouteJob,
+        table: RoutingTable,
+        now: float,
+    ) -> None:
+        known = table.organisations_by_key.get(job.facts.key)
+        if known is None or known.name != job.organisation_name():
+            raise ServingError(
+                ErrorKind.key_unknown,
+                'the key has been withdrawn',
+            )
+        if not self.freshness.is_fresh(now) and not job.exchange.started:
+            raise ServingError(
+                ErrorKind.configuration_stale,
+                'whether the key is still valid is not known',
+                retry_after=1,
+            )
+
+
+def shutting_down() -> ServingError:
+    """Return the error of a request that a stopping instance did not run."""
+    # The other instances take the request as soon as it comes back.
+    return ServingError(
+        ErrorKind.shutting_down,
+        'the instance stops',
+        retry_after=_STOP_RETRY_SECONDS,
+    )
+
+
+def pick_service(
+    services: tuple[tuple[str, float], ...],
+    rng: random.Random,
+) -> str:
+    """Return one of a route's services by their shares.
+
+    :param services: names and shares.
+    :param rng: source of the choice.
+    """
+    if len(services) == 1:
+        return services[0][0]
+    names = [name for name, _ in services]
+    return rng.choices(names, [share for _, share in services])[0]
