Ask engines that instances cannot reach; few loads from the store at once

Connections that fail are reported, the leader asks such an engine itself before its models count as gone (one instance may be cut off alone), and an instance that hears neither its leader nor the store refuses what waits for a model at once.

Replicas that the platform had placed were dropped before any request had come. The repeats that all instances may make were divided by eight, whatever their number.

--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, field
 
 from cowsliprack.coordination.rotation import GroupDemand, Rotation
-from cowsliprack.coordination.target_choice import SILENCE_SECONDS
 from cowsliprack.protocol.engine import EngineSurvey
 from cowsliprack.protocol.gateway_messages import (
     EngineView,
@@ -19,6 +18,11 @@
 
 # Seconds without a report after which an instance's demand counts no more.
 _SILENCE_SECONDS = 2.0
+# Seconds without an answer of an engine after which it is asked whether it
+# answers at all; events of streams come many times a second.
+_SUSPECT_SECONDS = 0.5
+# Seconds between two such questions.
+_CHECK_SECONDS = 1.0
 # Seconds for which an instance that fell silent still counts when limits are
 # divided, since it may only be cut off.
 _MEMBER_SECONDS = 60.0
@@ -145,6 +149,21 @@
             ),
         )
 
+    def suspects(self, now: float) -> list[EngineState]:
+        """Return the engines that should be asked whether they answer.
+
+        :param now: seconds.
+        """
+        return [
+            engine
+            for rotation in self.rotations_by_service.values()
+            for engine in rotation.engines_by_id.values()
+            if engine.suspected
+            and engine.order is None
+            and not engine.checking
+            and now - engine.checked_at > _CHECK_SECONDS
+        ]
+
     def refresh_views(self, now: float) -> bool:
         """Work out what instances must be told; return whether it changed.
 
@@ -250,10 +269,8 @@
             for engine in rotation.engines_by_id.values():
                 running = counts.get(engine.target_id, Counter())
                 engine.running = running
-                if engine.order is None:
-                    engine.silent = silences.get(engine.target_id, 0) > (
-                        SILENCE_SECONDS
-                    )
+                silence = silences.get(engine.target_id, 0)
+                engine.suspected = silence > _SUSPECT_SECONDS
                 for name in running:
                     engine.used_at_by_name[name] = now
 
--- a/cowsliprack/coordination/rotation.py
+++ b/cowsliprack/coordination/rotation.py
@@ -7,10 +7,11 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from cowsliprack.coordination.adapter_places import plan_adapter
+from cowsliprack.coordination.cold_loads import ColdLoads, most_cold_loads
 from cowsliprack.coordination.demand_rates import DemandRates
 from cowsliprack.coordination.engine_index import EngineIndex, index_engines
 from cowsliprack.protocol.target import OrderKind
@@ -43,23 +44,9 @@
 _ARRIVAL_SECONDS = 1.0
 # Cost of a replica that is not needed; below that of any model's absence.
 _SURPLUS_COST = 0.01
-# Engines that load from the weight store at the same time: while requests come,
-# a part of all and at most a few, and while none do. Such a load blocks further
-# orders to its engine for seconds, and the store is slower for each of more
-# than a few.
-_COLD_SHARE = 0.1
-_COLD_LOADS = 2
-_QUIET_COLD_LOADS = 4
-# Requests served in time for which as many such loads are worth it at any time
-# as while no requests come: a busy model whose engines are lost.
-_WORTHY = 5
-# Requests a second below which engines have time for such loads.
-_QUIET_RATE = 0.2
 # Seconds for which the engines must have been the same before models that lie
 # on none of them are loaded; longer than engines take to register anew.
 _SAME_ENGINES_SECONDS = 1.3
-# Seconds over which the limit of loads from the weight store is kept.
-_COLD_WINDOW_SECONDS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +109,7 @@
     spec: EngineSpec
     rates: DemandRates = field(default_factory=DemandRates)
     engines_by_id: dict[str, EngineState] = field(default_factory=dict)
-    _cold_starts: list[float] = field(default_factory=list)
+    _cold: ColdLoads = field(default_factory=ColdLoads)
     _engine_ids: frozenset[str] = frozenset()
     _same_since: float = 0
     # Tables of one plan.
@@ -145,12 +132,13 @@
         found = list(groups)
         self._look(found, now)
         orders = self._continue_assigned(now)
-        self._close_surplus()
+        if self.rates.is_known(now):
+            self._close_surplus()
         wishes = [*self._wishes(found, now), *self._crowded()]
         wishes.sort(key=lambda wanted: (-wanted.worth, wanted.target_at))
         for wish in wishes:
             orders.extend(self._grant(wish, now))
-        if not found and self.rates.total(now) < _QUIET_RATE:
+        if not found and self.rates.is_quiet(now):
             orders.extend(self._load_missing(now))
         return orders
 
@@ -202,6 +190,7 @@
         if engine_ids != self._engine_ids:
             self._engine_ids = engine_ids
             self._same_since = now
+        self.rates.watch(now)
 
     def _comfortable(self) -> float:
         share = self.spec.slots * _COMFORTABLE_SHARE
@@ -329,7 +318,7 @@
         if kind is OrderKind.load and not adapter:
             engine.assigned = ''
             if self.is_cold(engine, model):
-                self._cold_starts.append(now)
+                self._cold.starts.append(now)
         return order
 
     def _reopen(self, model: str) -> bool:
@@ -413,6 +402,8 @@
             return math.inf
         running = engine.running[name]
         run_cost = _RUN_SECONDS if running else 0
+        if others and not self.rates.is_known(now):
+            return math.inf
         if self._is_surplus(engine, name):
             return run_cost + _SURPLUS_COST
         if running >= max(wish.count - 1, 1):
@@ -442,20 +433,29 @@
             return self.spec.weights_size
         return model.size + adapters * model.adapter_size
 
+    def end_cold_load(self, model: ModelSpec, seconds: float) -> None:
+        """Learn how many loads at a time the weight store serves well.
+
+        :param model: that was loaded.
+        :param seconds: that it took.
+        """
+        at_once = self._cold_loads() + 1
+        self._cold.end(at_once, seconds / model.cold_seconds)
+
+    def _cold_loads(self) -> int:
+        """Return the loads from the weight store that run or are prepared."""
+        return sum(
+            bool(name) and self.is_cold(engine, name)
+            for engine in self.engines_by_id.values()
+            for name in (engine.assigned or engine.loading(),)
+        )
+
     def _may_load_cold(self, wish: _Wish, now: float) -> bool:
-        since = now - _COLD_WINDOW_SECONDS
-        self._cold_starts = [at for at in self._cold_starts if at > since]
-        limit = self.spec.loads_per_second * _COLD_WINDOW_SECONDS
-        loading = sum(
-            bool(engine.loading()) and self.is_cold(engine, engine.loading())
-            for engine in self._index.usable
+        engines = len(self._index.usable)
+        most = most_cold_loads(engines, wish.worth, self.rates.is_quiet(now))
+        return self._cold_loads() < min(most, self._cold.store_limit) and (
+            self._cold.may_begin(self.spec.loads_per_second, now)
         )
-        is_quiet = self.rates.total(now) < _QUIET_RATE
-        most = _QUIET_COLD_LOADS
-        if wish.worth < _WORTHY and not is_quiet:
-            share = len(self._index.usable) * _COLD_SHARE
-            most = max(1, min(_COLD_LOADS, round(share)))
-        return len(self._cold_starts) < limit and loading < most
 
     def _close_surplus(self) -> None:
         """Empty one replica of each model that has more than it needs."""
@@ -463,24 +463,10 @@
             replicas = self._index.offering(name)
             if len(replicas) < 2 or name in self._waiting:
                 continue
-            engine = self._least_needed(replicas, name)
+            engine = _least_needed(replicas, name, self._waiting_by_id)
             if self._is_surplus(engine, name):
                 engine.closing.add(name)
 
-    def _least_needed(
-        self,
-        replicas: list[EngineState],
-        name: str,
-    ) -> EngineState:
-        # A place is worth most where most models wait for one.
-        return max(
-            replicas,
-            key=lambda replica: (
-                self._waiting_by_id.get(replica.target_id, 0),
-                -replica.running[name],
-            ),
-        )
-
     def _is_surplus(self, engine: EngineState, name: str) -> bool:
         """Return whether the other replicas can run what one runs."""
         limit = self._comfortable() * _SURPLUS_SHARE
@@ -504,3 +490,18 @@
             if self._index.is_missing(name):
                 orders.extend(self._make_room(_Wish(name), now))
         return orders
+
+
+def _least_needed(
+    replicas: list[EngineState],
+    name: str,
+    waiting_by_id: Mapping[str, float],
+) -> EngineState:
+    # A place is worth most where most models wait for one.
+    return max(
+        replicas,
+        key=lambda replica: (
+            waiting_by_id.get(replica.target_id, 0),
+            -replica.running[name],
+        ),
+    )
--- a/cowsliprack/coordination/target_choice.py
+++ b/cowsliprack/coordination/target_choice.py
@@ -43,12 +43,15 @@
         an answer; ``None`` while there are none.
     :param failures: in a row.
     :param avoided_until: seconds.
+    :param unreachable_since: since when connections fail; ``None`` while they
+        do not.
     :param seconds: average time to the first byte; 0 before any.
     """
 
     silent_since: float | None = None
     failures: int = 0
     avoided_until: float = 0
+    unreachable_since: float | None = None
     seconds: float = 0
 
 
@@ -83,8 +86,13 @@
         :param candidates: targets that can run the request.
         :param now: seconds.
         :param prompt: id of a prompt part that a target may have kept.
+        :returns: ``None`` if connections to all of them failed lately.
         """
-        found = list(candidates)
+        found = [
+            record
+            for record in candidates
+            if not self._is_unreachable(record.target_id, now)
+        ]
         if not found:
             return None
         typical = self._typical_seconds(found)
@@ -154,19 +162,27 @@
         :param now: seconds.
         """
         health = self.health_by_id.get(target_id)
-        if health is not None and health.silent_since is not None:
+        if health is None:
+            return
+        health.unreachable_since = None
+        if health.silent_since is not None:
             health.silent_since = now
 
     def silence(self, target_id: str, now: float) -> float:
         """Return for how many seconds a target has owed an answer.
 
+        One that takes no connections owes it since the first that failed.
+
         :param target_id: of the target.
         :param now: seconds.
         """
         health = self.health_by_id.get(target_id)
-        if health is None or health.silent_since is None:
+        if health is None:
             return 0
-        return now - health.silent_since
+        waiting = (health.silent_since, health.unreachable_since)
+        return max(
+            (now - since for since in waiting if since is not None), default=0
+        )
 
     def engine_uses(self, now: float) -> tuple[EngineUse, ...]:
         """Return the requests of this instance under way, by engine.
@@ -181,7 +197,7 @@
                 self.silence(target_id, now),
             )
             for target_id, counts in self._names_by_id.items()
-            if self.own_by_id[target_id]
+            if self.own_by_id[target_id] or self._lacks_connection(target_id)
         )
 
     def _count(
@@ -226,6 +242,17 @@
         # Jitter keeps instances from trying the target again all at once.
         health.avoided_until = now + avoidance * self.rng.uniform(0.8, 1.2)
 
+    def miss(self, target_id: str, now: float) -> None:
+        """Note that a target was not reached.
+
+        :param target_id: that took no connection.
+        :param now: seconds.
+        """
+        self.fail(target_id, now)
+        health = self.health_by_id[target_id]
+        if health.unreachable_since is None:
+            health.unreachable_since = now
+
     def take_told(self, running_by_id: dict[str, int]) -> None:
         """Take the running requests that the leader has told.
 
@@ -285,6 +312,16 @@
             load += _AVOIDED_LOAD
         return load
 
+    def _is_unreachable(self, target_id: str, now: float) -> bool:
+        # Once it need not be avoided any more, one request tries it again.
+        health = self.health_by_id.get(target_id)
+        lacks = self._lacks_connection(target_id)
+        return lacks and health is not None and now < health.avoided_until
+
+    def _lacks_connection(self, target_id: str) -> bool:
+        health = self.health_by_id.get(target_id)
+        return health is not None and health.unreachable_since is not None
+
     def _typical_seconds(self, records: list[TargetRecord]) -> float:
         known = sorted(
             health.seconds
--- a/cowsliprack/state/engine_state.py
+++ b/cowsliprack/state/engine_state.py
@@ -28,7 +28,10 @@
     :param surveyed: the leader has read the engine's report since it took
         over; before that nothing is ordered.
     :param surveying: that report is being asked for.
+    :param suspected: instances have had no answer of it for a while.
     :param silent: it answers neither requests nor orders at present.
+    :param checking: it is being asked whether it answers.
+    :param checked_at: when it was last asked, seconds.
     :param order_count: orders that the engine has accepted.
     :param order: under way; the engine carries out one at a time.
     :param tries: how often the order was sent.
@@ -45,7 +48,10 @@
     adapters_by_model: dict[str, set[str]] = field(default_factory=dict)
     surveyed: bool = False
     surveying: bool = False
+    suspected: bool = False
     silent: bool = False
+    checking: bool = False
+    checked_at: float = float('-inf')
     order_count: int = 0
     order: EngineOrder | None = None
     tries: int = 0
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -47,8 +47,9 @@
 _FINAL_ANSWER_SECONDS = 0.4
 # Seconds for which changes of targets are gathered into one call.
 _GATHER_SECONDS = 0.2
-# Instances that share a budget of repeats; part of the budget that is used.
-_ASSUMED_INSTANCES = 8
+# Instances that share a budget of repeats, at least; fewer are known at first.
+_LEAST_INSTANCES = 8
+# Part of the budget of repeats that is used.
 _BUDGET_SHARE = 0.6
 
 _log = structlog.get_logger('cowsliprack.gateway')
@@ -125,7 +126,11 @@
                 demand_changed=self.region.demand_changed,
                 clock=read_clock,
             ),
-            new_budget=lambda: _retry_budget(settings),
+            size_budget=lambda budget: _size_budget(
+                budget,
+                settings,
+                credit.instances,
+            ),
             table=self.current_table,
             demand_changed=self.region.demand_changed,
             clock=read_clock,
@@ -348,11 +353,15 @@
             self.region.registry_changed()
 
 
-def _retry_budget(settings: GatewaySettings) -> RetryBudget:
-    slack = settings.retry_slack * _BUDGET_SHARE / _ASSUMED_INSTANCES
-    return RetryBudget(
-        ratio=settings.retry_ratio * _BUDGET_SHARE,
-        floor_per_second=slack / settings.retry_window_seconds / 2,
-        capacity=max(slack / 2, 2),
-        tokens=max(slack / 2, 2),
-    )
+def _size_budget(
+    budget: RetryBudget,
+    settings: GatewaySettings,
+    instances: int,
+) -> None:
+    """Give an instance its part of the repeats that all may make."""
+    shared_by = max(instances, _LEAST_INSTANCES)
+    slack = settings.retry_slack * _BUDGET_SHARE / shared_by
+    budget.ratio = settings.retry_ratio * _BUDGET_SHARE
+    budget.floor_per_second = slack / settings.retry_window_seconds / 2
+    # A repeat can only be saved up as a whole.
+    budget.capacity = max(slack / 2, 1)
--- a/cowsliprack/transport/order_desk.py
+++ b/cowsliprack/transport/order_desk.py
@@ -10,6 +10,7 @@
     finish_order,
     take_survey,
 )
+from cowsliprack.coordination.rotation import Rotation
 from cowsliprack.logs import log_decision
 from cowsliprack.protocol.engine import (
     Authority,
@@ -83,6 +84,7 @@
             if survey is None:
                 await anyio.sleep(_SURVEY_SECONDS)
                 continue
+            engine.silent = False
             is_first = not engine.surveyed
             is_busy = survey.busy
             take_survey(engine, survey)
@@ -95,6 +97,31 @@
         engine.surveying = False
         self.changed()
 
+    async def check(self, engine: EngineState) -> None:
+        """Ask an engine until it answers; its models count as gone meanwhile.
+
+        Whether an engine is lost is decided by what the leader sees: a single
+        instance may be cut off from engines that all others reach.
+
+        :param engine: that instances have had no answer of.
+        """
+        engine.checking = True
+        is_silent = True
+        while is_silent and engine.order is None and self.is_current(engine):
+            engine.checked_at = self.clock()
+            is_silent = await self.engines.survey(engine.record) is None
+            if is_silent != engine.silent:
+                engine.silent = is_silent
+                log_decision(
+                    'engine_silent' if is_silent else 'engine_answers',
+                    engine.target_id,
+                    'asked because instances have had no answer',
+                )
+                self.changed()
+            if is_silent:
+                await anyio.sleep(_SURVEY_SECONDS)
+        engine.checking = False
+
     async def carry_out(self, engine: EngineState, order: EngineOrder) -> None:
         """Have an engine carry out an order.
 
@@ -132,10 +159,7 @@
 
         :param engine: state of the engine.
         """
-        return any(
-            rotation.engines_by_id.get(engine.target_id) is engine
-            for rotation in self.state.rotations_by_service.values()
-        )
+        return self._rotation(engine) is not None
 
     async def _send_until_answered(
         self,
@@ -232,14 +256,27 @@
             await anyio.sleep(_ADAPTER_SECONDS)
             return
         if order.kind is OrderKind.load:
-            seconds, is_cold = self._load_time(engine, order.model)
-            await anyio.sleep(seconds + _LOAD_MARGIN_SECONDS)
-            if not is_cold:
-                return
-            # The weight store takes longer while it serves many loads.
-        elif not engine.running[order.model]:
+            await self._wait_for_load(engine, order.model)
+        elif engine.running[order.model]:
+            await self._wait_until_idle(engine)
+        else:
             await anyio.sleep(_UNLOAD_SECONDS)
+
+    async def _wait_for_load(self, engine: EngineState, name: str) -> None:
+        rotation = self._rotation(engine)
+        model = rotation and rotation.spec.models_by_name.get(name)
+        if not rotation or not model:
             return
+        began_at = self.clock()
+        is_cold = rotation.is_cold(engine, name)
+        seconds = rotation.load_seconds(engine, model)
+        await anyio.sleep(seconds + _LOAD_MARGIN_SECONDS)
+        if is_cold:
+            # The weight store takes longer while it serves many loads.
+            await self._wait_until_idle(engine)
+            rotation.end_cold_load(model, self.clock() - began_at)
+
+    async def _wait_until_idle(self, engine: EngineState) -> None:
         while self.is_current(engine):
             await anyio.sleep(_POLL_SECONDS)
             survey = await self.engines.survey(engine.record)
@@ -247,15 +284,11 @@
                 if not survey.busy:
                     return
 
-    def _load_time(self, engine: EngineState, name: str) -> tuple[float, bool]:
-        """Return the seconds of a load, and whether the store is needed."""
+    def _rotation(self, engine: EngineState) -> Rotation | None:
         for rotation in self.state.rotations_by_service.values():
             if rotation.engines_by_id.get(engine.target_id) is engine:
-                model = rotation.spec.models_by_name.get(name)
-                if model is not None:
-                    seconds = rotation.load_seconds(engine, model)
-                    return seconds, rotation.is_cold(engine, name)
-        return 0, False
+                return rotation
+        return None
 
 
 def _drops_adapter(order: EngineOrder) -> bool:
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -175,6 +175,8 @@
             return
         now = self._needs.clock()
         self.state.count_running(now)
+        for suspect in self.state.suspects(now):
+            self._tasks.start_soon(self._desk.check, suspect)
         for service, rotation in self.state.rotations_by_service.items():
             for order in rotation.plan(self.state.groups(service, now), now):
                 engine = rotation.engines_by_id[order.target_id]
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -47,7 +47,8 @@
     """Sends requests of one instance and passes on what comes back.
 
     :param finder: finds the targets.
-    :param new_budget: returns the budget of repeats of a further service.
+    :param size_budget: sets what a budget of repeats admits, which changes
+        with the number of instances.
     :param table: returns the configuration in force.
     :param demand_changed: called when a request begins to wait, and when the
         first one of a model begins to run on a target or the last one ends.
@@ -59,7 +60,7 @@
     fleet: FleetView
     choice: TargetChoice
     finder: TargetFinder
-    new_budget: Callable[[], RetryBudget]
+    size_budget: Callable[[RetryBudget], None]
     table: Callable[[], RoutingTable]
     demand_changed: Callable[[], None]
     clock: Callable[[], float]
@@ -138,7 +139,10 @@
             job.may_have_run = True
             job.ran_on.add(target.target_id)
             job.runs += 1
-        self.choice.fail(target.target_id, now)
+        if failure.unreachable:
+            self.choice.miss(target.target_id, now)
+        else:
+            self.choice.fail(target.target_id, now)
         retry, reason = self._may_retry(job, failure, now)
         log_decision(
             'retry',
@@ -180,8 +184,11 @@
         """Return the budget of a service; it is counted for each apart."""
         budget = self.budgets_by_service.get(job.service)
         if budget is None:
-            budget = self.new_budget()
+            budget = RetryBudget()
+            self.size_budget(budget)
+            budget.tokens = budget.capacity
             self.budgets_by_service[job.service] = budget
+        self.size_budget(budget)
         return budget
 
     def _final_error(self, job: RouteJob, failure: TargetError) -> ServingError:
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -17,6 +17,9 @@
 
 # Seconds between looks for a target while nothing is told to have changed.
 _LOOK_SECONDS = 0.25
+# Seconds without a word of the leader and without a reading of the store after
+# which an instance is cut off: no model will be loaded for what waits there.
+_CUT_OFF_SECONDS = 2.0
 # After which a request that a stopping instance refused may come back.
 _STOP_RETRY_SECONDS = 0.1
 
@@ -77,7 +80,14 @@
         while True:
             if self.room.closed:
                 raise shutting_down()
-            left = waiter.gives_up_at - self.clock()
+            now = self.clock()
+            if self._is_cut_off(now):
+                raise ServingError(
+                    ErrorKind.cold_start_unavailable,
+                    'the instance is cut off from its leader and the store',
+                    retry_after=self.rng.uniform(0.2, 0.6),
+                )
+            left = waiter.gives_up_at - now
             if left <= 0:
                 raise ServingError(
                     ErrorKind.cold_start_unavailable,
@@ -114,6 +124,11 @@
         prompt = facts.prompt_parts[-1][0] if facts.prompt_parts else ''
         return self.choice.choose(untried or allowed, now, prompt)
 
+    def _is_cut_off(self, now: float) -> bool:
+        since_leader = now - self.fleet.heard_at
+        since_store = self.freshness.age(now)
+        return min(since_leader, since_store) > _CUT_OFF_SECONDS
+
     def _check_admission(self, job: RouteJob, now: float) -> None:
         """Check again what may have changed while the request waited."""
         table = self.table()
--- a/tests/coordination/region_state.feature
+++ b/tests/coordination/region_state.feature
@@ -22,3 +22,14 @@
     Given an instance that waits for a
     When an older report of it comes without a wait
     Then a is still waited for
+
+  Scenario Outline: Who has had no answer of an engine: <who>
+    Given an engine that held a and has loaded b
+    And <who> had no answer of it for 0.8 seconds
+    Then the leader asks it: <asks>
+
+    Examples:
+      | who                | asks |
+      | one instance alone | yes  |
+      | one of two that use it | no |
+      | nobody             | no   |
--- a/tests/coordination/rotation.feature
+++ b/tests/coordination/rotation.feature
@@ -72,6 +72,7 @@
 
   Scenario: A replica that is not needed makes way once its requests have ended
     Given engine e1 holds a, b and has c on disk
+    And requests have come for a while
     And engine e2 holds a, d and has f on disk
     And e1 runs 1 request for a
     And e2 runs 3 requests for a
@@ -198,6 +199,28 @@
     And the rotation plans
     Then the orders are "e2 load a"
 
+  Scenario: Replicas that the platform placed stay until demand is known
+    Given engine e1 holds a, b and has c, d, e, f on disk
+    And engine e2 holds a, d and has c on disk
+    When the engines are the same for 2 seconds
+    Then the orders are ""
+    And a is offered by 2 engine
+
+  Scenario: Models that lie nowhere are loaded a few at a time
+    Given 9 empty engines
+    And a weight store that admits 6 loads a second
+    When the rotation plans for 1 second before any request
+    Then 0 loads were ordered
+    When the rotation plans for 1 second before any request
+    Then 4 loads were ordered
+
+  Scenario: Fewer loads run at the same time after slow ones
+    Given 9 empty engines
+    And 4 loads from the weight store at once took twice their time
+    When the rotation plans for 1 second before any request
+    And the rotation plans for 1 second before any request
+    Then 2 loads were ordered
+
   Scenario: A replica stays while the other engine could not run its requests
     Given engine e1 holds a, b and has c on disk
     And engine e2 holds a, d and has c on disk
@@ -208,6 +231,7 @@
 
   Scenario: A replica that is not needed takes no new requests
     Given engine e1 holds a, b and has c on disk
+    And requests have come for a while
     And engine e2 holds a, d and has c on disk
     And e1 runs 2 requests for a
     When the rotation plans
@@ -215,6 +239,7 @@
 
   Scenario: A model that is wanted again before its unload is offered again
     Given engine e1 holds a, b and has c on disk
+    And requests have come for a while
     And engine e2 holds a, d and has f on disk
     And e1 runs 1 request for a
     And e1 runs 1 request for b
--- a/tests/steps/order_desk_steps.py
+++ b/tests/steps/order_desk_steps.py
@@ -167,3 +167,39 @@
 @then('it was sent {count:d} orders')
 def then_orders(context, count):
     assert len(context.engine.orders) == count, context.engine.orders
+
+
+@given('it answers nothing for {seconds:g} seconds')
+def given_silent(context, seconds):
+    context.silent_seconds = seconds
+
+
+@when('the desk checks whether it answers')
+def when_checked(context):
+    anyio.run(_check, context)
+
+
+async def _check(context):
+    context.offered = []
+    began_at = time.monotonic()
+
+    class _Engines:
+        async def survey(self, _record):
+            await anyio.sleep(0.01)
+            if time.monotonic() - began_at < context.silent_seconds:
+                return None
+            return EngineSurvey(order_count=0, busy=False, born=0)
+
+    state = EngineState(_record('127.0.0.1:1'), surveyed=True)
+    state.adapters_by_model = context.held
+    desk = _desk(
+        _Engines(),
+        state,
+        lambda: context.offered.append(state.is_usable()),
+    )
+    await desk.check(state)
+
+
+@then('it is offered: no, yes')
+def then_offered_again(context):
+    assert context.offered == [False, True], context.offered
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -6,7 +6,11 @@
 
 from cowsliprack.coordination.region_state import RegionState, finish_order
 from cowsliprack.coordination.rotation import Rotation
-from cowsliprack.protocol.gateway_messages import MemberReport, WaitingGroup
+from cowsliprack.protocol.gateway_messages import (
+    EngineUse,
+    MemberReport,
+    WaitingGroup,
+)
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder
 from cowsliprack.state.routing_table import EngineSpec
@@ -127,3 +131,34 @@
 def then_waits(context):
     groups = context.state.groups('s', context.now)
     assert [group.model for group in groups] == ['a'], groups
+
+
+_SILENCES_BY_WHO = {
+    'one instance alone': (0.8,),
+    'one of two that use it': (0.8, 0.1),
+    'nobody': (),
+}
+
+
+@given('{who} had no answer of it for 0.8 seconds')
+def given_silence(context, who):
+    for number, silence in enumerate(_SILENCES_BY_WHO[who]):
+        report = MemberReport(
+            instance_id=f'i{number}',
+            address='127.0.0.1:1',
+            zone='z',
+            boot='b',
+            sequence=1,
+            stamp=0,
+            view_sequence=0,
+            view_fencing=0,
+            engines=(EngineUse('e1', 1, {'a': 1}, silence),),
+        )
+        context.state.take_report(report, _NOW)
+
+
+@then('the leader asks it: {answer}')
+def then_asks(context, answer):
+    context.state.count_running(_NOW)
+    suspects = context.state.suspects(_NOW)
+    assert bool(suspects) == (answer == 'yes'), suspects
--- a/tests/steps/rotation_steps.py
+++ b/tests/steps/rotation_steps.py
@@ -2,6 +2,7 @@
 
 import re
 from collections import Counter
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -210,6 +211,34 @@
     assert model in {engine.assigned, engine.loading()}, engine
 
 
+@given('a weight store that admits {rate:d} loads a second')
+def given_store(context, rate):
+    spec = context.rotation.spec
+    context.rotation.spec = replace(spec, loads_per_second=rate)
+
+
+@given('requests have come for a while')
+def given_demand(context):
+    context.rotation.rates.add('z', 5, _NOW)
+
+
+@given('4 loads from the weight store at once took twice their time')
+def given_slow(context):
+    for number in range(1, 4):
+        engine = context.rotation.engines_by_id[f'e{number}']
+        engine.assigned = 'a'
+    context.rotation.end_cold_load(_spec().models_by_name['a'], 12)
+    for engine in context.rotation.engines_by_id.values():
+        engine.assigned = ''
+
+
+@when('the rotation plans for 1 second before any request')
+def when_plans_ahead(context):
+    for _ in range(20):
+        context.now += 0.05
+        context.ordered += context.rotation.plan([], context.now)
+
+
 @when('the rotation plans for 1 second')
 def when_plans_long(context):
     for _ in range(20):
--- a/tests/steps/route_relay_steps.py
+++ b/tests/steps/route_relay_steps.py
@@ -3,7 +3,6 @@
 import anyio
 from behave import given, then, when
 
-from cowsliprack.coordination.retry import RetryBudget
 from cowsliprack.exceptions import ErrorKind, ServingError
 from cowsliprack.platform.wire import decode_configuration
 from cowsliprack.protocol.dialect import RequestFacts
@@ -50,7 +49,7 @@
         fleet=None,
         choice=None,
         finder=None,
-        new_budget=RetryBudget,
+        size_budget=lambda budget: None,
         table=None,
         demand_changed=None,
         clock=lambda: 0.0,
--- a/tests/steps/target_choice_steps.py
+++ b/tests/steps/target_choice_steps.py
@@ -3,6 +3,16 @@
 from behave import given, then, when
 
 from cowsliprack.coordination.target_choice import TargetChoice
+from cowsliprack.state.target_registry import TargetRecord, TargetState
+
+_RECORD = TargetRecord(
+    target_id='t1',
+    service='s',
+    address='127.0.0.1:1',
+    zone='z',
+    slots=8,
+    state=TargetState.ready,
+)
 
 
 @given('requests were served by targets t1 to t{count:d}')
@@ -56,3 +66,44 @@
         | set(choice.health_by_id)
     )
     assert len(remembered) == count, remembered
+
+
+@given('a connection to t1 has failed')
+def given_failed(context):
+    context.now = 0.0
+    context.choice = TargetChoice('z')
+    context.choice.start('t1', 'm', '', 0.0)
+    context.choice.end('t1', 'm', '')
+    context.choice.miss('t1', 0.0)
+
+
+@when('{seconds:g} seconds have passed')
+def when_passed(context, seconds):
+    context.now = seconds
+
+
+@when('t1 has answered')
+def when_answered(context):
+    context.choice.hear('t1', context.now)
+
+
+@then('t1 is chosen for no request')
+def then_not_chosen(context):
+    assert context.choice.choose([_RECORD], context.now) is None
+
+
+@then('t1 is chosen for a request')
+def then_chosen(context):
+    assert context.choice.choose([_RECORD], context.now) is _RECORD
+
+
+@then('t1 is reported as silent for {seconds:g} seconds after that time')
+def then_silent(context, seconds):
+    (use,) = context.choice.engine_uses(seconds)
+    assert use.target_id == 't1'
+    assert use.silence == seconds, use
+
+
+@then('t1 is not reported')
+def then_not_reported(context):
+    assert not context.choice.engine_uses(context.now)
--- /dev/null
+++ b/tests/steps/target_finder_steps.py
@@ -0,0 +1,79 @@
+"""Steps for requests that wait for a target."""
+
+import time
+
+import anyio
+from behave import given, then, when
+
+from cowsliprack.coordination.fleet_view import FleetView
+from cowsliprack.coordination.freshness import Freshness
+from cowsliprack.coordination.target_choice import TargetChoice
+from cowsliprack.coordination.waiting_room import WaitingRoom
+from cowsliprack.exceptions import ErrorKind, Ran, ServingError
+from cowsliprack.platform.wire import decode_configuration
+from cowsliprack.protocol.dialect import RequestFacts
+from cowsliprack.transport.route_job import RouteJob
+from cowsliprack.transport.target_finder import TargetFinder
+from tests.support.gateway_world import HOST, configuration
+
+
+@given('the last word of the leader is {age:g} seconds old')
+def given_leader(context, age):
+    context.leader_age = age
+
+
+@given('the last reading of the store is {age:g} seconds old')
+def given_store(context, age):
+    context.store_age = age
+
+
+@when('a request waits there for a model')
+def when_waits(context):
+    table = decode_configuration(configuration())
+    now = time.monotonic()
+    finder = TargetFinder(
+        fleet=FleetView(heard_at=now - context.leader_age),
+        choice=TargetChoice('z'),
+        room=WaitingRoom(),
+        freshness=Freshness(5, now - context.store_age),
+        table=lambda: table,
+        demand_changed=lambda: None,
+        clock=time.monotonic,
+    )
+    job = RouteJob(
+        exchange=_NotStarted(),
+        facts=RequestFacts('id', '', None, model='m3'),
+        host=HOST,
+        path='/chat/x',
+        route=table.find_route(HOST, '/chat/x'),
+        service='llm',
+        organisation=None,
+        tokens=0,
+        arrived_at=now,
+        deadline=now + 8,
+        first_by=now + 4,
+    )
+    context.error = anyio.run(_find, finder, job)
+
+
+class _NotStarted:
+    started = False
+
+
+async def _find(finder, job):
+    with anyio.move_on_after(0.3):
+        try:
+            await finder.find(job)
+        except ServingError as error:
+            return error
+    return None
+
+
+@then('it is refused within 0.3 seconds: {answer}')
+def then_refused(context, answer):
+    if answer == 'no':
+        assert context.error is None, context.error
+        return
+    assert context.error.kind is ErrorKind.cold_start_unavailable
+    assert context.error.ran is Ran.not_run
+    assert 0 < context.error.retry_after < 1
--- a/tests/transport/order_desk.feature
+++ b/tests/transport/order_desk.feature
@@ -14,3 +14,9 @@
     When the desk asks what it holds
     Then it is offered with model m0 within 0.3 seconds
     And it gets no order before it is idle
+
+  Scenario: An engine that does not answer counts as gone until it does
+    Given an engine that holds model m0 with adapter a1
+    And it answers nothing for 0.4 seconds
+    When the desk checks whether it answers
+    Then it is offered: no, yes
