--- a/cowsliprack/coordination/retry.py
+++ b/cowsliprack/coordination/retry.py
@@ -13,6 +13,12 @@
 # power of two within a float.
 _LARGEST_EXPONENT = 32
 
+# Instances that share a limit, at least; fewer are known at first.
+_LEAST_INSTANCES = 8
+# Part of the tolerated repeats that is used. Instances that start anew, or
+# that have just been told of others, have saved up too many.
+_LIMIT_SHARE = 0.6
+
 
 @dataclass(slots=True)
 class RetryBudget:
@@ -59,6 +65,40 @@
         self.updated_at = now
 
 
+@dataclass(frozen=True, slots=True)
+class RetryLimit:
+    """Repeats that all instances together may send to a service.
+
+    In any window they may send ``ratio`` times the requests, and ``slack``.
+
+    :param window: seconds.
+    """
+
+    ratio: float
+    slack: float
+    window: float
+
+
+def size_budget(
+    budget: RetryBudget,
+    limit: RetryLimit,
+    instances: int,
+) -> None:
+    """Give an instance its part of the repeats that all may send.
+
+    :param budget: of the instance.
+    :param limit: for all instances together.
+    :param instances: that share the limit.
+    """
+    shared_by = max(instances, _LEAST_INSTANCES)
+    slack = limit.slack * _LIMIT_SHARE / shared_by
+    budget.ratio = limit.ratio * _LIMIT_SHARE
+    # Half of the slack comes with time, half may be saved up. A repeat can
+    # only be saved up as a whole.
+    budget.floor_per_second = slack / limit.window / 2
+    budget.capacity = max(slack / 2, 1)
+
+
 @dataclass(frozen=True, slots=True)
 class RetryVerdict:
     """Whether to send a request again.
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -12,7 +12,7 @@
 from cowsliprack.coordination.fleet_view import FleetView
 from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.relayed_targets import relayed_record
-from cowsliprack.coordination.retry import RetryBudget
+from cowsliprack.coordination.retry import RetryLimit, size_budget
 from cowsliprack.coordination.target_choice import TargetChoice
 from cowsliprack.coordination.token_credit import TokenCredit
 from cowsliprack.coordination.waiting_room import WaitingRoom
@@ -47,10 +47,6 @@
 _FINAL_ANSWER_SECONDS = 0.4
 # Seconds for which changes of targets are gathered into one call.
 _GATHER_SECONDS = 0.2
-# Instances that share a budget of repeats, at least; fewer are known at first.
-_LEAST_INSTANCES = 8
-# Part of the budget of repeats that is used.
-_BUDGET_SHARE = 0.6
 
 _log = structlog.get_logger('cowsliprack.gateway')
 
@@ -112,6 +108,11 @@
                 clock=read_clock,
             ),
         )
+        retry_limit = RetryLimit(
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_seconds,
+        )
         relay = RouteRelay(
             client=self.client,
             dialect=self.parts.dialect,
@@ -126,9 +127,9 @@
                 demand_changed=self.region.demand_changed,
                 clock=read_clock,
             ),
-            size_budget=lambda budget: _size_budget(
+            size_budget=lambda budget: size_budget(
                 budget,
-                settings,
+                retry_limit,
                 credit.instances,
             ),
             table=self.current_table,
@@ -351,17 +352,3 @@
                 removed=removed[:20],
             )
             self.region.registry_changed()
-
-
-def _size_budget(
-    budget: RetryBudget,
-    settings: GatewaySettings,
-    instances: int,
-) -> None:
-    """Give an instance its part of the repeats that all may make."""
-    shared_by = max(instances, _LEAST_INSTANCES)
-    slack = settings.retry_slack * _BUDGET_SHARE / shared_by
-    budget.ratio = settings.retry_ratio * _BUDGET_SHARE
-    budget.floor_per_second = slack / settings.retry_window_seconds / 2
-    # A repeat can only be saved up as a whole.
-    budget.capacity = max(slack / 2, 1)
--- a/tests/coordination/retry.feature
+++ b/tests/coordination/retry.feature
@@ -53,3 +53,13 @@
       | 3        | 0.8     |
       | 9        | 5       |
       | 100000   | 5       |
+
+  Scenario Outline: Repeats of <count> instances stay within what is tolerated
+    Given <count> instances that may repeat 1 in 5 requests and 188 in 10 seconds
+    When each of 200 requests a second fails and is repeated while it may be
+    Then no window of 10 seconds has more repeats than tolerated
+
+    Examples:
+      | count |
+      | 6     |
+      | 74    |
--- a/tests/steps/retry_steps.py
+++ b/tests/steps/retry_steps.py
@@ -77,3 +77,42 @@
     waits = [retry.full_jitter(failures, 0.1, 5, rng) for _ in range(count)]
     assert min(waits) < longest / 10
     assert longest * 0.9 < max(waits) <= longest
+
+
+@given(
+    '{count:d} instances that may repeat 1 in 5 requests and {slack:d} in 10 '
+    'seconds'
+)
+def given_instances(context, count, slack):
+    context.limit = retry.RetryLimit(0.2, slack, 10)
+    context.budgets = [retry.RetryBudget() for _ in range(count)]
+    for budget in context.budgets:
+        retry.size_budget(budget, context.limit, count)
+        budget.tokens = budget.capacity
+
+
+@when(
+    'each of {rate:d} requests a second fails and is repeated while it may be'
+)
+def when_repeated(context, rate):
+    source = random.Random(5)
+    context.rate = rate
+    context.repeats = []
+    for number in range(rate * 40):
+        now = number / rate
+        budget = source.choice(context.budgets)
+        budget.earn(now)
+        # An engine that fails everything is asked until no repeat is left.
+        while budget.spend(now):
+            context.repeats.append(now)
+
+
+@then('no window of 10 seconds has more repeats than tolerated')
+def then_tolerated(context):
+    limit = context.limit
+    tolerated = limit.ratio * context.rate * limit.window + limit.slack
+    for at in context.repeats:
+        window = [
+            time for time in context.repeats if at <= time < at + limit.window
+        ]
+        assert len(window) <= tolerated, (at, len(window), tolerated)
