--- a/cowsliprack/coordination/rotation.py
+++ b/cowsliprack/coordination/rotation.py
@@ -181,6 +181,15 @@
         record = engine.record
         return model not in record.in_memory and model not in record.on_disk
 
+    def end_cold_load(self, model: ModelSpec, seconds: float) -> None:
+        """Learn how many loads at a time the weight store serves well.
+
+        :param model: that was loaded.
+        :param seconds: that it took.
+        """
+        at_once = self._cold_loads() + 1
+        self._cold.end(at_once, seconds / model.cold_seconds)
+
     def _look(self, groups: list[GroupDemand], now: float) -> None:
         """Look once at each engine, so that a plan need not for each model."""
         self._index = index_engines(self.engines_by_id.values())
@@ -240,21 +249,15 @@
             # A model that makes way for another one is crowded by its last
             # requests; who still wants it waits and has it offered again.
             excess = min(loads, default=0) - comfortable
-            excess = min(excess * len(loads), self.running(model))
-            # Moving a model away helps little unless it is much of the load.
-            if excess > 0 and self.running(model) >= excess / 2:
-                wishes.append(_Wish(model, worth=excess))
+            if excess > 0:
+                worth = min(excess * len(loads), self.running(model))
+                wishes.append(_Wish(model, worth=worth))
         return wishes
 
     def _grant(self, wish: _Wish, now: float) -> list[EngineOrder]:
         """Return the orders that serve a wish, as far as there are places."""
-        if not wish.count:
-            is_coming = wish.model in self._index.coming
-            if is_coming or self._reopen(wish.model):
-                return []
-            return self._make_room(wish, now)
         offering = self._index.offering(wish.model)
-        if offering:
+        if wish.count and offering:
             order = plan_adapter(
                 offering,
                 wish.model,
@@ -311,11 +314,10 @@
         kind: OrderKind,
         model: str,
         now: float,
-        adapter: str = '',
     ) -> EngineOrder:
-        order = EngineOrder(engine.target_id, kind, model, adapter)
+        order = EngineOrder(engine.target_id, kind, model)
         engine.order = order
-        if kind is OrderKind.load and not adapter:
+        if kind is OrderKind.load:
             engine.assigned = ''
             if self.is_cold(engine, model):
                 self._cold.starts.append(now)
@@ -433,15 +435,6 @@
             return self.spec.weights_size
         return model.size + adapters * model.adapter_size
 
-    def end_cold_load(self, model: ModelSpec, seconds: float) -> None:
-        """Learn how many loads at a time the weight store serves well.
-
-        :param model: that was loaded.
-        :param seconds: that it took.
-        """
-        at_once = self._cold_loads() + 1
-        self._cold.end(at_once, seconds / model.cold_seconds)
-
     def _cold_loads(self) -> int:
         """Return the loads from the weight store that run or are prepared."""
         return sum(
