Decide on a load from the weight store before looking for its place

Cause: whether a choice of an engine needs the weight store follows from whether any engine has a copy, yet it was kept in a field of each choice and asked for last, after the places of all engines had been priced, with every plan for every model that may not be loaded now. Also: one look at the health of a target that takes no connections instead of two, and one call that sizes a new budget of repeats instead of two.

--- a/cowsliprack/coordination/rotation.py
+++ b/cowsliprack/coordination/rotation.py
@@ -94,7 +94,6 @@
 
     engine: EngineState
     victims: tuple[str, ...]
-    is_cold: bool
     cost: float
 
 
@@ -350,6 +349,8 @@
             for engine in self._index.copies_by_model[name]
             if name not in engine.adapters_by_model
         ]
+        if not copies and not self._may_load_cold(wish, now):
+            return []
         choices = [
             choice
             for engine in copies or self._index.usable
@@ -361,8 +362,6 @@
         if not choices:
             return []
         best = min(choices, key=lambda choice: choice.cost)
-        if best.is_cold and not self._may_load_cold(wish, now):
-            return []
         best.engine.closing.update(best.victims)
         best.engine.assigned = name
         best.engine.assigned_at = now
@@ -377,17 +376,16 @@
     ) -> Iterable[_Choice]:
         model = self.spec.models_by_name[wish.model]
         load_seconds = self.load_seconds(engine, model)
-        is_cold = self.is_cold(engine, model.name)
-        if is_cold:
+        if self.is_cold(engine, model.name):
             # All that waits for this engine waits for that long.
             load_seconds *= 1 + self._waiting_by_id.get(engine.target_id, 0)
         if self._has_room(engine, model):
-            yield _Choice(engine, (), is_cold, load_seconds)
+            yield _Choice(engine, (), load_seconds)
             return
         for name in engine.adapters_by_model:
             cost = self._eviction_cost(engine, name, wish, now)
             if math.isfinite(cost) and self._has_room(engine, model, name):
-                yield _Choice(engine, (name,), is_cold, load_seconds + cost)
+                yield _Choice(engine, (name,), load_seconds + cost)
 
     def _eviction_cost(
         self,
--- a/cowsliprack/coordination/target_choice.py
+++ b/cowsliprack/coordination/target_choice.py
@@ -314,9 +314,9 @@
 
     def _is_unreachable(self, target_id: str, now: float) -> bool:
         # Once it need not be avoided any more, one request tries it again.
-        health = self.health_by_id.get(target_id)
-        lacks = self._lacks_connection(target_id)
-        return lacks and health is not None and now < health.avoided_until
+        return self._lacks_connection(target_id) and (
+            now < self.health_by_id[target_id].avoided_until
+        )
 
     def _lacks_connection(self, target_id: str) -> bool:
         health = self.health_by_id.get(target_id)
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -183,12 +183,13 @@
     def _budget(self, job: RouteJob) -> RetryBudget:
         """Return the budget of a service; it is counted for each apart."""
         budget = self.budgets_by_service.get(job.service)
-        if budget is None:
-            budget = RetryBudget()
+        if budget is not None:
             self.size_budget(budget)
-            budget.tokens = budget.capacity
-            self.budgets_by_service[job.service] = budget
+            return budget
+        budget = RetryBudget()
         self.size_budget(budget)
+        budget.tokens = budget.capacity
+        self.budgets_by_service[job.service] = budget
         return budget
 
     def _final_error(self, job: RouteJob, failure: TargetError) -> ServingError:
