Build targets and requests of tests in one place

Four step files built the same target and two the same request of a route; two fake engines differed in one line. tests/support/routed.py has them once.

--- a/tests/steps/order_desk_steps.py
+++ b/tests/steps/order_desk_steps.py
@@ -14,12 +14,9 @@
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder, EngineState
 from cowsliprack.state.routing_table import EngineSpec, ModelSpec
-from cowsliprack.state.target_registry import (
-    Holding,
-    TargetRecord,
-    TargetState,
-)
+from cowsliprack.state.target_registry import Holding
 from cowsliprack.transport.order_desk import OrderDesk
+from tests.support.routed import target_record
 from tools.standins.objects import ObjectPlatform
 from tools.standins.route_engine import RouteEngine
 from tools.standins.web import bind, serve_on
@@ -76,27 +73,35 @@
     anyio.run(_survey_busy, context)
 
 
+class _Engines:
+    """Engines that answer a survey by the time since they were created."""
+
+    def __init__(self, answer):
+        self._answer = answer
+        self._began_at = time.monotonic()
+
+    async def survey(self, _record):
+        await anyio.sleep(0.01)
+        return self._answer(time.monotonic() - self._began_at)
+
+
 async def _survey_busy(context):
     """Note each change of what is known, with the time since the begin."""
     context.changes = []
     began_at = time.monotonic()
-    record = _record('127.0.0.1:1')
-
-    class _Engines:
-        async def survey(self, _record):
-            await anyio.sleep(0.01)
-            return EngineSurvey(
-                order_count=4,
-                busy=time.monotonic() - began_at < context.busy_seconds,
-                born=0,
-                holdings_by_model={
-                    model: Holding(1, frozenset(adapters))
-                    for model, adapters in context.held.items()
-                },
-            )
+    holdings = {
+        model: Holding(1, frozenset(adapters))
+        for model, adapters in context.held.items()
+    }
+
+    def answer(seconds):
+        is_busy = seconds < context.busy_seconds
+        return EngineSurvey(4, is_busy, 0, holdings)
 
-    state = EngineState(record)
-    desk = _desk(_Engines(), state, lambda: _note(context, state, began_at))
+    state = EngineState(target_record('e1'))
+    desk = _desk(
+        _Engines(answer), state, lambda: _note(context, state, began_at)
+    )
     await desk.survey(state)
 
 
@@ -123,17 +128,6 @@
         assert may_order == (at >= context.busy_seconds), context.changes
 
 
-def _record(address):
-    return TargetRecord(
-        target_id='e1',
-        service='llm',
-        address=address,
-        zone='zone-a',
-        slots=8,
-        state=TargetState.ready,
-    )
-
-
 def _desk(engines, state, changed):
     spec = EngineSpec(
         8, 10000, 160, 4, 20, {'m0': ModelSpec('m0', 70, 1, 1, 0.1, 0.1)}
@@ -152,7 +146,7 @@
 
 
 async def _order(client, engine, orders):
-    state = EngineState(_record(engine.address))
+    state = EngineState(target_record('e1', address=engine.address))
     desk = _desk(EngineCalls(client), state, SimpleNamespace)
     await desk.survey(state)
     for order in orders:
@@ -181,19 +175,15 @@
 
 async def _check(context):
     context.offered = []
-    began_at = time.monotonic()
 
-    class _Engines:
-        async def survey(self, _record):
-            await anyio.sleep(0.01)
-            if time.monotonic() - began_at < context.silent_seconds:
-                return None
-            return EngineSurvey(order_count=0, busy=False, born=0)
+    def answer(seconds):
+        is_silent = seconds < context.silent_seconds
+        return None if is_silent else EngineSurvey(0, False, 0)
 
-    state = EngineState(_record('127.0.0.1:1'), surveyed=True)
+    state = EngineState(target_record('e1'), surveyed=True)
     state.adapters_by_model = context.held
     desk = _desk(
-        _Engines(),
+        _Engines(answer),
         state,
         lambda: context.offered.append(state.is_usable()),
     )
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -16,10 +16,9 @@
 from cowsliprack.state.routing_table import EngineSpec
 from cowsliprack.state.target_registry import (
     Holding,
-    TargetRecord,
     TargetRegistry,
-    TargetState,
 )
+from tests.support.routed import target_record
 
 _NOW = 100.0
 
@@ -32,13 +31,8 @@
 
 
 def _register(context, revision, **changes):
-    record = TargetRecord(
-        target_id='e1',
-        service='s',
-        address='127.0.0.1:2',
-        zone='z',
-        slots=32,
-        state=TargetState.ready,
+    record = target_record(
+        'e1',
         born=5,
         order_count=1,
         holdings_by_model={'a': Holding(1)},
--- a/tests/steps/rotation_steps.py
+++ b/tests/steps/rotation_steps.py
@@ -11,7 +11,7 @@
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder, EngineState
 from cowsliprack.state.routing_table import EngineSpec, ModelSpec
-from cowsliprack.state.target_registry import TargetRecord, TargetState
+from tests.support.routed import target_record
 
 _NOW = 1000.0
 _TOLD = 0.03
@@ -32,13 +32,8 @@
 
 
 def _add_engine(context, name, held, on_disk=()):
-    record = TargetRecord(
-        target_id=name,
-        service='s',
-        address='127.0.0.1:1',
-        zone='z',
-        slots=32,
-        state=TargetState.ready,
+    record = target_record(
+        name,
         on_disk=frozenset((*held, *on_disk)),
     )
     engine = EngineState(record, surveyed=True)
--- a/tests/steps/route_relay_steps.py
+++ b/tests/steps/route_relay_steps.py
@@ -4,12 +4,9 @@
 from behave import given, then, when
 
 from cowsliprack.exceptions import ErrorKind, ServingError
-from cowsliprack.platform.wire import decode_configuration
-from cowsliprack.protocol.dialect import RequestFacts
-from cowsliprack.transport.route_job import RouteJob
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.target_client import SendTrace
-from tests.support.gateway_world import HOST, configuration
+from tests.support.routed import route_job
 
 
 class _GivesUp(RouteRelay):
@@ -21,20 +18,7 @@
 
 @given('a request of a route after {sends}')
 def given_request(context, sends):
-    table = decode_configuration(configuration())
-    context.job = RouteJob(
-        exchange=None,
-        facts=RequestFacts('id', '', None),
-        host=HOST,
-        path='/stock/1',
-        route=table.find_route(HOST, '/stock/1'),
-        service='shop',
-        organisation=None,
-        tokens=0,
-        arrived_at=0,
-        deadline=10,
-        first_by=10,
-    )
+    context.job = route_job('/stock/1', 'shop', 0, 10)
     if sends == 'a send that may have run':
         context.job.may_have_run = True
     if sends == 'a send without an answer yet':
--- a/tests/steps/target_choice_steps.py
+++ b/tests/steps/target_choice_steps.py
@@ -3,16 +3,9 @@
 from behave import given, then, when
 
 from cowsliprack.coordination.target_choice import TargetChoice
-from cowsliprack.state.target_registry import TargetRecord, TargetState
-
-_RECORD = TargetRecord(
-    target_id='t1',
-    service='s',
-    address='127.0.0.1:1',
-    zone='z',
-    slots=8,
-    state=TargetState.ready,
-)
+from tests.support.routed import target_record
+
+_RECORD = target_record('t1')
 
 
 @given('requests were served by targets t1 to t{count:d}')
--- a/tests/steps/target_finder_steps.py
+++ b/tests/steps/target_finder_steps.py
@@ -10,11 +10,9 @@
 from cowsliprack.coordination.target_choice import TargetChoice
 from cowsliprack.coordination.waiting_room import WaitingRoom
 from cowsliprack.exceptions import ErrorKind, Ran, ServingError
-from cowsliprack.platform.wire import decode_configuration
 from cowsliprack.protocol.dialect import RequestFacts
-from cowsliprack.transport.route_job import RouteJob
 from cowsliprack.transport.target_finder import TargetFinder
-from tests.support.gateway_world import HOST, configuration
+from tests.support.routed import TABLE, route_job
 
 
 @given('the last word of the leader is {age:g} seconds old')
@@ -29,28 +27,23 @@
 
 @when('a request waits there for a model')
 def when_waits(context):
-    table = decode_configuration(configuration())
     now = time.monotonic()
     finder = TargetFinder(
         fleet=FleetView(heard_at=now - context.leader_age),
         choice=TargetChoice('z'),
         room=WaitingRoom(),
         freshness=Freshness(5, now - context.store_age),
-        table=lambda: table,
+        table=lambda: TABLE,
         demand_changed=lambda: None,
         clock=time.monotonic,
     )
-    job = RouteJob(
+    job = route_job(
+        '/chat/x',
+        'llm',
+        now,
+        8,
         exchange=_NotStarted(),
         facts=RequestFacts('id', '', None, model='m3'),
-        host=HOST,
-        path='/chat/x',
-        route=table.find_route(HOST, '/chat/x'),
-        service='llm',
-        organisation=None,
-        tokens=0,
-        arrived_at=now,
-        deadline=now + 8,
         first_by=now + 4,
     )
     context.error = anyio.run(_find, finder, job)
