Count the load of an engine in the replay as the rotation does

The replay added up the running requests of an engine by itself, those with an adapter twice; EngineState.load is there for it.

--- a/tools/bench/rotation_replay.py
+++ b/tools/bench/rotation_replay.py
@@ -292,7 +292,7 @@
         ]
         return min(
             found,
-            key=lambda engine: sum(engine.running.values()),
+            key=EngineState.load,
             default=None,
         )
 
