--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -61,7 +61,8 @@
     for feature in json.loads(report.read_text() or '[]'):
         for element in feature.get('elements', ()):
             if element['type'] == 'scenario':
-                yield element['name'], element['status']
+                # behave ends the name of an outline's row with a space.
+                yield element['name'].strip(), element['status']
 
 
 def read_failures(report: Path) -> Iterator[str]:
