--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -4,8 +4,11 @@
 and more than a few at a time slow each other down in the store.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from cowsliprack.state.engine_state import EngineState
+
 # Concurrent cold loads while requests arrive, as a share of all engines and in
 # total, and while none arrive.
 _MAX_COLD_LOAD_SHARE = 0.1
@@ -21,6 +24,36 @@
 _RATE_WINDOW_SECONDS = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class MissingWeights:
+    """Models without a copy on any engine, and loads from the weight store.
+
+    :param models: number of models that no engine holds, caches or loads.
+    :param waiting_models: those with waiting requests, sorted by name.
+    :param cold_loads: running or assigned loads from the weight store.
+    :param max_cold_loads: current limit for a model with few requests.
+    :param engines: number of usable engines.
+    """
+
+    models: int = 0
+    waiting_models: tuple[str, ...] = ()
+    cold_loads: int = 0
+    max_cold_loads: int = 0
+    engines: int = 0
+
+
+def count_cold_loads(engines: Iterable[EngineState]) -> int:
+    """Return the number of running or assigned loads from the weight store.
+
+    :param engines: engines of one service.
+    """
+    return sum(
+        bool(name) and engine.is_cold(name)
+        for engine in engines
+        for name in (engine.assigned_model or engine.loading_model(),)
+    )
+
+
 def max_cold_loads(engines: int, served_requests: float, is_idle: bool) -> int:
     """Return how many engines may load from the weight store at once.
 
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -11,7 +11,12 @@
 from dataclasses import dataclass, field
 
 from cowsliprack.coordination.adapter_placement import plan_adapter
-from cowsliprack.coordination.cold_loads import ColdLoadLimit, max_cold_loads
+from cowsliprack.coordination.cold_loads import (
+    ColdLoadLimit,
+    MissingWeights,
+    count_cold_loads,
+    max_cold_loads,
+)
 from cowsliprack.coordination.demand_rates import DemandRates
 from cowsliprack.coordination.engine_index import EngineIndex, index_engines
 from cowsliprack.protocol.target import OrderKind
@@ -172,20 +177,29 @@
         :param engine: the loading engine.
         :param model: the model to load.
         """
-        if self.is_cold(engine, model.name):
+        if engine.is_cold(model.name):
             return model.cold_seconds
         # The registered list of copies in host memory may be out of date,
         # because the unload that makes room puts another model there.
         return max(model.disk_seconds, model.warm_seconds)
 
-    def is_cold(self, engine: EngineState, model: str) -> bool:
-        """Return whether an engine must load a model from the weight store.
+    def missing_weights(self, now: float) -> MissingWeights:
+        """Return which models lie on no engine, as of the last plan.
 
-        :param engine: the loading engine.
-        :param model: its name.
+        :param now: seconds.
         """
-        record = engine.record
-        return model not in record.in_memory and model not in record.on_disk
+        missing = [
+            name
+            for name in self.spec.models_by_name
+            if self._index.is_missing(name)
+        ]
+        return MissingWeights(
+            len(missing),
+            tuple(sorted(self._waiting_models.intersection(missing))),
+            count_cold_loads(self.engines_by_id.values()),
+            self._max_cold_loads(0, now),
+            len(self._index.usable),
+        )
 
     def end_cold_load(self, model: ModelSpec, seconds: float) -> None:
         """Adapt the concurrency limit for loads from the weight store.
@@ -193,7 +207,7 @@
         :param model: the model that was loaded.
         :param seconds: duration of the load.
         """
-        at_once = self._cold_loads() + 1
+        at_once = count_cold_loads(self.engines_by_id.values()) + 1
         self._cold.record_end(at_once, seconds / model.cold_seconds)
 
     def _update_index(self, groups: list[GroupDemand], now: float) -> None:
@@ -336,7 +350,7 @@
         engine.order = order
         if kind is OrderKind.load:
             engine.assigned_model = ''
-            if self.is_cold(engine, model):
+            if engine.is_cold(model):
                 self._cold.starts.append(now)
         return order
 
@@ -394,7 +408,7 @@
     ) -> Iterable[_Placement]:
         model = self.spec.models_by_name[candidate.model]
         load_seconds = self.load_seconds(engine, model)
-        if self.is_cold(engine, model.name):
+        if engine.is_cold(model.name):
             # The load also delays all other models that need this engine.
             load_seconds *= 1 + self._waiting_share_by_id.get(
                 engine.target_id, 0
@@ -454,22 +468,17 @@
             return self.spec.weights_memory
         return model.size + adapters * model.adapter_size
 
-    def _cold_loads(self) -> int:
-        """Return the number of running or assigned weight store loads."""
-        return sum(
-            bool(name) and self.is_cold(engine, name)
-            for engine in self.engines_by_id.values()
-            for name in (engine.assigned_model or engine.loading_model(),)
+    def _may_load_cold(self, candidate: _LoadCandidate, now: float) -> bool:
+        most = self._max_cold_loads(candidate.benefit, now)
+        return count_cold_loads(self.engines_by_id.values()) < most and (
+            self._cold.may_start(self.spec.loads_per_second, now)
         )
 
-    def _may_load_cold(self, candidate: _LoadCandidate, now: float) -> bool:
-        engines = len(self._index.usable)
+    def _max_cold_loads(self, benefit: float, now: float) -> int:
         most = max_cold_loads(
-            engines, candidate.benefit, self.rates.is_idle(now)
-        )
-        return self._cold_loads() < min(most, self._cold.store_limit) and (
-            self._cold.may_start(self.spec.loads_per_second, now)
+            len(self._index.usable), benefit, self.rates.is_idle(now)
         )
+        return min(most, self._cold.store_limit)
 
     def _drain_surplus(self) -> None:
         """Stop offering one replica of each model with surplus replicas."""
--- a/cowsliprack/state/engine_state.py
+++ b/cowsliprack/state/engine_state.py
@@ -93,6 +93,14 @@
             return ''
         return '' if order.adapter else order.model
 
+    def is_cold(self, model: str) -> bool:
+        """Return whether it must load a model from the weight store.
+
+        :param model: name of the model.
+        """
+        record = self.record
+        return model not in record.in_memory and model not in record.on_disk
+
     def adapter_count(self) -> int:
         """Return the number of loaded adapters of all models."""
         return sum(len(names) for names in self.adapters_by_model.values())
--- a/cowsliprack/transport/order_executor.py
+++ b/cowsliprack/transport/order_executor.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from cowsliprack.coordination.cold_loads import count_cold_loads
 from cowsliprack.coordination.model_scheduler import ModelScheduler
 from cowsliprack.coordination.region_state import (
     RegionState,
@@ -279,13 +280,23 @@
         if not scheduler or not model:
             return
         began_at = self.clock()
-        is_cold = scheduler.is_cold(engine, name)
+        is_cold = engine.is_cold(name)
         seconds = scheduler.load_seconds(engine, model)
         await anyio.sleep(seconds + _LOAD_MARGIN_SECONDS)
         if is_cold:
             # The weight store is slower while it serves many loads.
             await self._wait_until_idle(engine)
-            scheduler.end_cold_load(model, self.clock() - began_at)
+            took = self.clock() - began_at
+            log_decision(
+                'cold_load_ended',
+                name,
+                'loaded from the weight store',
+                target=engine.target_id,
+                took_ms=round(took * 1000),
+                stated_ms=round(seconds * 1000),
+                cold_loads=count_cold_loads(scheduler.engines_by_id.values()),
+            )
+            scheduler.end_cold_load(model, took)
 
     async def _wait_until_idle(self, engine: EngineState) -> None:
         while self.is_current(engine):
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -8,6 +8,7 @@
 import msgspec
 import structlog
 
+from cowsliprack.coordination.cold_loads import MissingWeights
 from cowsliprack.coordination.fleet_view import FleetView
 from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.lease import Lease
@@ -16,6 +17,7 @@
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.coordination.token_credit import LeaderTokenCredit, TokenCredit
 from cowsliprack.coordination.waiting_requests import WaitingRequests
+from cowsliprack.logs import log_decision
 from cowsliprack.protocol.engine import EngineControl
 from cowsliprack.protocol.gateway_messages import (
     ConfigurationCopy,
@@ -37,6 +39,10 @@
 _BATCH_SECONDS_PER_MEMBER = 0.0007
 # Longest time between two plans.
 _PLAN_INTERVAL_SECONDS = 0.05
+# Shortest time between two log lines on the models without a copy, and the
+# most names in such a line.
+_MISSING_LOG_INTERVAL_SECONDS = 1.0
+_MAX_LOGGED_NAMES = 20
 
 _log = structlog.get_logger('cowsliprack.region')
 
@@ -104,6 +110,8 @@
         self._plan_due = anyio.Event()
         self._leader_credit = LeaderTokenCredit(context.credit.window)
         self._tasks = anyio.create_task_group()
+        self._logged_missing_by_service: dict[str, MissingWeights] = {}
+        self._missing_logged_at = -math.inf
         self.state = RegionState(
             lease.fencing,
             context.instance_id,
@@ -182,11 +190,33 @@
             for order in scheduler.plan(self.state.groups(service, now), now):
                 engine = scheduler.engines_by_id[order.target_id]
                 self._tasks.start_soon(self._executor.execute, engine, order)
+        self._log_missing_weights(now)
         organisations = self._context.table().organisations_by_name.values()
         instances = self.state.member_count(now)
         self._leader_credit.limit(list(organisations), instances, now)
         self._send_views(to_all=self.state.refresh_views(now))
 
+    def _log_missing_weights(self, now: float) -> None:
+        if now - self._missing_logged_at < _MISSING_LOG_INTERVAL_SECONDS:
+            return
+        self._missing_logged_at = now
+        for service, scheduler in self.state.schedulers_by_service.items():
+            missing = scheduler.missing_weights(now)
+            if missing == self._logged_missing_by_service.get(service):
+                continue
+            self._logged_missing_by_service[service] = missing
+            log_decision(
+                'weights_missing',
+                list(missing.waiting_models[:_MAX_LOGGED_NAMES]),
+                'requests wait for models without a copy on any engine',
+                service=service,
+                models=missing.models,
+                waiting_models=len(missing.waiting_models),
+                cold_loads=missing.cold_loads,
+                max_cold_loads=missing.max_cold_loads,
+                engines=missing.engines,
+            )
+
     def _send_views(self, *, to_all: bool) -> None:
         now = self._context.clock()
         left = self._lease.held_until() - now
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -133,6 +133,16 @@
     When the scheduler plans for 1 second
     Then 3 loads were ordered
 
+  Scenario: Models without a copy are known, with the loads that are running
+    Given engine e1 holds a, b and has c, d on disk
+    And engine e2 holds a
+    And a is requested often
+    And 1 request waits for e
+    And 1 request waits for f
+    When the scheduler plans
+    Then 1 model lies on no engine, and requests wait for "f"
+    And 1 of at most 1 load from the weight store is running
+
   Scenario: A busy model without engines is loaded in parallel to another load
     Given engine e1 holds a
     And engine e2 holds b
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -300,6 +300,20 @@
     assert len(context.ordered) == count, _format_orders(context.ordered)
 
 
+@then('{count:d} model lies on no engine, and requests wait for "{name:w}"')
+def then_missing(context, count, name):
+    missing = context.scheduler.missing_weights(context.now)
+    assert missing.models == count, missing
+    assert missing.waiting_models == (name,), missing
+
+
+@then('{count:d} of at most {most:d} load from the weight store is running')
+def then_cold_loads(context, count, most):
+    missing = context.scheduler.missing_weights(context.now)
+    assert missing.cold_loads == count, missing
+    assert missing.max_cold_loads == most, missing
+
+
 @then('{model:w} is offered by {count:d} engine')
 def then_offered(context, model, count):
     offering = context.scheduler.replicas(model)
