--- a/tests/bench/rotation_replay.feature
+++ b/tests/bench/rotation_replay.feature
@@ -21,6 +21,10 @@
       | 6 engines of 3 places |
       | 9 engines of 2 places |
 
+  Scenario: Models that lie on no engine at first are served
+    Given the workload "56 engines of 2 places" replayed with 3 seeds
+    Then at most 1 and a tenth of the lasting models and adapters are never served
+
   Scenario: No engine is ordered to exceed its memory
     Given the workload "6 engines of 3 places" replayed with 3 seeds
     Then no engine held more than 3 models
--- a/tests/steps/rotation_replay_steps.py
+++ b/tests/steps/rotation_replay_steps.py
@@ -21,6 +21,18 @@
     ]
 
 
+@then(
+    'at most 1 and a tenth of the lasting models and adapters are never served'
+)
+def then_served(context):
+    plays = len(context.replays)
+    lasting = sum(len(play.lasting_names()) for play in context.replays)
+    never = sum(len(play.never_served()) for play in context.replays)
+    assert never <= plays + lasting / 10, (
+        f'{never} of {lasting} never served in {plays} plays'
+    )
+
+
 @when('it is replayed without lead time before the first request')
 def when_no_lead_time(context):
     workload = replace(context.workload, lead_seconds=0)
--- a/tools/bench/rotation_replay.py
+++ b/tools/bench/rotation_replay.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import Counter, defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field, replace
 
 import fire
@@ -30,6 +30,13 @@
 # From the start of a request on an engine to its first output event.
 _FIRST_EVENT_SECONDS = 0.06
 _MODEL_MEGABYTES = 70.0
+# A model or adapter is requested throughout the workload if it is requested at
+# least this often over at least this time, in seconds.
+_LASTING_REQUESTS = 4
+_LASTING_SECONDS = 8.0
+
+# Time, number of engines, and seconds until they come back.
+EngineChange = tuple[float, int, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +50,8 @@
     :param value: earned by a request that meets the latency target.
     :param late_value: earned by a request that starts later.
     :param adapter_share: fraction of the requests that name an adapter.
+    :param retries: number of times that a caller comes back after its request
+        was given up.
     """
 
     name: str
@@ -53,6 +62,7 @@
     value: float
     late_value: float
     adapter_share: float = 0
+    retries: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +74,13 @@
     :param slots: number of requests that an engine runs concurrently.
     :param disk_models: number of models, chosen at random, that the disk of an
         engine holds at first.
+    :param disk_capacity: maximum number of models on the disk of an engine; a
+        load evicts the least recently loaded one.
+    :param cold_seconds: time of a load from the weight store at full speed.
+    :param full_speed_loads: number of concurrent loads that the weight store
+        serves at full speed; one that begins beside more takes longer in
+        proportion.
+    :param loads_per_second: limit of the weight store.
     :param busy_shares: share of each busy model in its requests.
     :param rare_models: number of rare models.
     :param draft: long requests for busy models.
@@ -74,6 +91,13 @@
     :param end_at: end of the replay, seconds after the first request.
     :param shift_times: when demand moves to other busy models, seconds.
     :param burst: start, end and rate factor of a burst of batch requests.
+    :param initial_replicas: number of initial replicas of the busiest models;
+        each other model is placed once, as far as there is room.
+    :param crash: time, number of engines, and seconds until they are back with
+        nothing but their disks.
+    :param removal: time, number of engines that leave for good, and seconds
+        until as many empty ones come.
+    :param plan_seconds: interval of the plans of the scheduler.
     """
 
     name: str
@@ -91,6 +115,14 @@
     end_at: float = 34.0
     shift_times: tuple[float, ...] = (1.0, 14.0, 24.0)
     burst: tuple[float, float, float] = (9.0, 15.0, 2.4)
+    disk_capacity: int = 1000
+    cold_seconds: float = 6.0
+    full_speed_loads: int = 4
+    loads_per_second: float = 3.0
+    initial_replicas: tuple[int, ...] = (2, 2, 2, 2, 2)
+    crash: EngineChange = (math.inf, 0, 0)
+    removal: EngineChange = (math.inf, 0, 0)
+    plan_seconds: float = _STEP_SECONDS
 
 
 SIX_ENGINES = Workload(
@@ -117,7 +149,37 @@
     ask=RequestKind('ask', 18.0, 0.4, 1.8, 0.25, 1.5, 0.15, 0.5),
     batch=RequestKind('batch', 8.3, 2.0, 7.3, 1.2, 7.6, 1.1),
 )
-WORKLOADS = (SIX_ENGINES, NINE_ENGINES)
+# Zipf distribution of the requests for the 22 models in use at a time; demand
+# moves on to the others.
+_GROWN_SHARES = tuple(
+    (rank + 1) ** -0.7 if rank < 22 else 0 for rank in range(55)
+)
+FIFTY_SIX_ENGINES = Workload(
+    name='56 engines of 2 places',
+    engines=56,
+    models_per_engine=2,
+    slots=12,
+    disk_models=7,
+    busy_shares=_GROWN_SHARES,
+    rare_models=174,
+    draft=RequestKind('draft', 66, 0.4, 1.8, 1.5, 2.2, 0.22, 0.05, 1),
+    ask=RequestKind('ask', 77, 0.4, 1.8, 0.25, 0.9, 0.09, 0.2, 1),
+    batch=RequestKind('batch', 28.5, 2.0, 7.3, 1.5, 11.9, 1.8, retries=1),
+    adapters=24,
+    lead_seconds=11.0,
+    end_at=41.0,
+    shift_times=(1.0, 14.0, 24.0),
+    burst=(9.0, 15.0, 2.1),
+    disk_capacity=7,
+    cold_seconds=7.8,
+    full_speed_loads=2,
+    loads_per_second=32,
+    initial_replicas=(7, 3, 2, 2),
+    crash=(5.7, 14, 4.0),
+    removal=(7.1, 8, 6.0),
+    plan_seconds=0.05,
+)
+WORKLOADS = (SIX_ENGINES, NINE_ENGINES, FIFTY_SIX_ENGINES)
 
 
 @dataclass(slots=True, eq=False)
@@ -127,6 +189,14 @@
     adapter: str
     arrived_at: float
     run_seconds: float
+    waits_until: float
+    retries: int
+
+    def names(self) -> tuple[str, ...]:
+        """Return the model and the adapter as MODEL/ADAPTER, if any."""
+        if self.adapter:
+            return self.model, f'{self.model}/{self.adapter}'
+        return (self.model,)
 
 
 @dataclass(slots=True)
@@ -164,6 +234,10 @@
     )
     orders_by_kind: Counter[str] = field(default_factory=Counter)
     peak_models: int = 0
+    requested_at_by_name: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list),
+    )
+    served_names: set[str] = field(default_factory=set)
     _busy_models: list[str] = field(init=False)
     _rare_models: list[str] = field(init=False)
     _waiting: list[_Request] = field(default_factory=list)
@@ -173,10 +247,18 @@
     _pending_orders: list[tuple[float, EngineState, EngineOrder]] = field(
         default_factory=list,
     )
+    _cold_started_by_id: dict[str, float] = field(default_factory=dict)
+    _disk_by_id: dict[str, list[str]] = field(default_factory=dict)
+    _planned_at: float = -math.inf
+    _changes: list[EngineChange] = field(init=False)
+    _returning_engines: list[tuple[float, str, list[str]]] = field(
+        default_factory=list,
+    )
 
     def __post_init__(self) -> None:
         """Create the engines with their initial models."""
         workload = self.workload
+        self._changes = [workload.crash, workload.removal]
         self._busy_models = [
             f'busy{number}' for number in range(len(workload.busy_shares))
         ]
@@ -185,7 +267,9 @@
         ]
         names = self._busy_models + self._rare_models
         specs = {
-            name: ModelSpec(name, _MODEL_MEGABYTES, 1, 6.0, 0.6, 0.45)
+            name: ModelSpec(
+                name, _MODEL_MEGABYTES, 1, workload.cold_seconds, 0.6, 0.45
+            )
             for name in names
         }
         self.scheduler = ModelScheduler(
@@ -194,12 +278,12 @@
                 110000,
                 _MODEL_MEGABYTES * workload.models_per_engine + 20,
                 8,
-                3.0,
+                workload.loads_per_second,
                 specs,
             ),
         )
         disks = self._sample_disk_models(names)
-        initial = self._busy_models * 2 + self._rare_models
+        initial = self._initial_models(names)
         for number in range(workload.engines):
             own = slice(
                 number,
@@ -207,18 +291,37 @@
                 workload.engines,
             )
             held = initial[own]
-            record = TargetRecord(
-                target_id=f'e{number}',
-                service='s',
-                address='',
-                zone='z',
-                slots=workload.slots,
-                state=TargetState.ready,
-                on_disk=frozenset(disks[number]).union(held),
+            disk = [name for name in disks[number] if name not in held]
+            self._add_engine(f'e{number}', disk + held, held)
+
+    def _initial_models(self, names: list[str]) -> list[str]:
+        """Return the models to place, once for each replica."""
+        extra = [
+            name
+            for name, replicas in zip(
+                names, self.workload.initial_replicas, strict=False
             )
-            engine = EngineState(record, surveyed=True)
-            engine.adapters_by_model = {model: set() for model in held}
-            self.scheduler.engines_by_id[record.target_id] = engine
+            for _ in range(replicas - 1)
+        ]
+        return extra + names
+
+    def _add_engine(
+        self, target_id: str, disk: list[str], held: Iterable[str] = ()
+    ) -> None:
+        disk = disk[-self.workload.disk_capacity :]
+        self._disk_by_id[target_id] = disk
+        record = TargetRecord(
+            target_id=target_id,
+            service='s',
+            address='',
+            zone='z',
+            slots=self.workload.slots,
+            state=TargetState.ready,
+            on_disk=frozenset(disk),
+        )
+        engine = EngineState(record, surveyed=True)
+        engine.adapters_by_model = {model: set() for model in held}
+        self.scheduler.engines_by_id[target_id] = engine
 
     def run(self) -> None:
         """Simulate the workload to its end."""
@@ -232,23 +335,77 @@
             ):
                 self._busy_models.append(self._busy_models.pop(0))
                 shift += 1
+            self._change_engines(now)
             self._finish_orders(now)
             self._finish_requests(now)
             for request in self._arrivals(now):
-                self.scores_by_kind[request.kind.name].requests += 1
-                self.scores_by_kind[
-                    request.kind.name
-                ].possible_value += request.kind.value
-                self.scheduler.rates.add(request.model, 1, now)
-                self._waiting.append(request)
+                self._receive(request, now)
             self._start_waiting(now)
-            self._issue_orders(now)
+            if now >= self._planned_at + workload.plan_seconds:
+                self._planned_at = now
+                self._issue_orders(now)
             now += _STEP_SECONDS
 
-    def _sample_disk_models(self, names: list[str]) -> list[set[str]]:
+    def never_served(self) -> list[str]:
+        """Return the models and adapters requested throughout, but not served.
+
+        :returns: models, and adapters as MODEL/ADAPTER.
+        """
+        return sorted(self.lasting_names() - self.served_names)
+
+    def lasting_names(self) -> set[str]:
+        """Return the models and adapters requested throughout."""
+        return {
+            name
+            for name, times in self.requested_at_by_name.items()
+            if len(times) >= _LASTING_REQUESTS
+            and times[-1] - times[0] > _LASTING_SECONDS
+        }
+
+    def _receive(self, request: _Request, now: float) -> None:
+        score = self.scores_by_kind[request.kind.name]
+        score.requests += 1
+        score.possible_value += request.kind.value
+        for name in request.names():
+            self.requested_at_by_name[name].append(now)
+        self.scheduler.rates.add(request.model, 1, now)
+        self._waiting.append(request)
+
+    def _change_engines(self, now: float) -> None:
+        """Let engines crash, leave and return at their times."""
+        due = [entry for entry in self._changes if now >= entry[0]]
+        for change in due:
+            self._changes.remove(change)
+            self._take_away(change, now)
+        returning = [
+            entry for entry in self._returning_engines if now >= entry[0]
+        ]
+        for entry in returning:
+            self._returning_engines.remove(entry)
+            self._add_engine(*entry[1:])
+
+    def _take_away(self, change: EngineChange, now: float) -> None:
+        _, count, seconds = change
+        engine_ids = sorted(self.scheduler.engines_by_id)
+        is_removal = change is self.workload.removal
+        for target_id in self.rng.sample(engine_ids, count):
+            self._remove_engine(target_id)
+            disk = [] if is_removal else self._disk_by_id[target_id]
+            name = f'{target_id}+' if is_removal else target_id
+            self._returning_engines.append((now + seconds, name, disk))
+
+    def _remove_engine(self, target_id: str) -> None:
+        """Remove an engine with its running requests and orders."""
+        engine = self.scheduler.engines_by_id.pop(target_id)
+        self._pending_orders = [
+            entry for entry in self._pending_orders if entry[1] is not engine
+        ]
+        self._cold_started_by_id.pop(target_id, None)
+
+    def _sample_disk_models(self, names: list[str]) -> list[list[str]]:
         """Return the models on the disk of each engine; some are on no disk."""
         return [
-            set(self.rng.sample(names, self.workload.disk_models))
+            self.rng.sample(names, self.workload.disk_models)
             for _ in range(self.workload.engines)
         ]
 
@@ -272,7 +429,15 @@
             if self.rng.random() < kind.adapter_share:
                 adapter = f'a{self.rng.randrange(workload.adapters)}'
         run_seconds = kind.mean_run_seconds * self.rng.lognormvariate(-0.2, 0.6)
-        return _Request(kind, model, adapter, now, run_seconds)
+        return _Request(
+            kind,
+            model,
+            adapter,
+            now,
+            run_seconds,
+            now + kind.timeout,
+            kind.retries,
+        )
 
     def _start_waiting(self, now: float) -> None:
         still_waiting = []
@@ -280,7 +445,11 @@
             engine = self._find_engine(request)
             if engine:
                 self._start(request, engine, now)
-            elif now - request.arrived_at < request.kind.timeout:
+            elif now < request.waits_until:
+                still_waiting.append(request)
+            elif request.retries:
+                request.retries -= 1
+                request.waits_until = now + request.kind.timeout
                 still_waiting.append(request)
             else:
                 self.scores_by_kind[request.kind.name].given_up += 1
@@ -299,6 +468,7 @@
             engine.running[name] += 1
             engine.used_at_by_name[name] = now
         self._running.append((now + request.run_seconds, engine, request))
+        self.served_names.update(request.names())
         score = self.scores_by_kind[kind.name]
         is_in_time = (
             now - request.arrived_at
@@ -338,12 +508,24 @@
         for entry in finished:
             self._pending_orders.remove(entry)
             _, engine, order = entry
-            finish_order(engine, order, now)
-            if order.kind is OrderKind.load and not order.adapter:
-                engine.record = replace(
-                    engine.record,
-                    on_disk=engine.record.on_disk | {order.model},
-                )
+            self._finish_order(engine, order, now)
+
+    def _finish_order(
+        self, engine: EngineState, order: EngineOrder, now: float
+    ) -> None:
+        finish_order(engine, order, now)
+        if order.adapter or order.kind is not OrderKind.load:
+            return
+        began_at = self._cold_started_by_id.pop(engine.target_id, None)
+        if began_at is not None:
+            model = self.scheduler.spec.models_by_name[order.model]
+            self.scheduler.end_cold_load(model, now - began_at)
+        disk = self._disk_by_id[engine.target_id]
+        if order.model in disk:
+            disk.remove(order.model)
+        disk.append(order.model)
+        del disk[: -self.workload.disk_capacity]
+        engine.record = replace(engine.record, on_disk=frozenset(disk))
 
     def _issue_orders(self, now: float) -> None:
         groups = self._group_waiting(now)
@@ -351,17 +533,30 @@
             engine = self.scheduler.engines_by_id[order.target_id]
             resource = 'adapter' if order.adapter else 'model'
             self.orders_by_kind[f'{order.kind.value} {resource}'] += 1
-            seconds = _UNLOAD_SECONDS
-            if order.adapter:
-                seconds = _ADAPTER_ORDER_SECONDS
-            elif order.kind is OrderKind.load:
-                held = len(engine.adapters_by_model) + 1
-                self.peak_models = max(self.peak_models, held)
-                model = self.scheduler.spec.models_by_name[order.model]
-                seconds = self.scheduler.load_seconds(engine, model)
+            if order.kind is OrderKind.load and not order.adapter:
+                self._start_load(engine, order, now)
+                continue
+            seconds = (
+                _ADAPTER_ORDER_SECONDS if order.adapter else _UNLOAD_SECONDS
+            )
             finished_at = now + seconds + _MESSAGE_SECONDS
             self._pending_orders.append((finished_at, engine, order))
 
+    def _start_load(
+        self, engine: EngineState, order: EngineOrder, now: float
+    ) -> None:
+        held = len(engine.adapters_by_model) + 1
+        self.peak_models = max(self.peak_models, held)
+        model = self.scheduler.spec.models_by_name[order.model]
+        seconds = self.scheduler.load_seconds(engine, model)
+        if engine.is_cold(order.model):
+            self.orders_by_kind['cold load'] += 1
+            self._cold_started_by_id[engine.target_id] = now
+            concurrent = len(self._cold_started_by_id)
+            seconds *= max(1, concurrent / self.workload.full_speed_loads)
+        finished_at = now + seconds + _MESSAGE_SECONDS
+        self._pending_orders.append((finished_at, engine, order))
+
     def _group_waiting(self, now: float) -> list[GroupDemand]:
         by_key: dict[tuple[str, str], list[_Request]] = defaultdict(list)
         for request in self._waiting:
@@ -440,6 +635,9 @@
             print(
                 f'  {kind.name}: in time {in_time:.3f}, given up {given_up:.3f}'
             )
+        never = sum(len(one.never_served()) for one in replays) / seeds
+        lasting = sum(len(one.lasting_names()) for one in replays) / seeds
+        print(f'  never served: {never:.1f} of {lasting:.1f} names a play')
         orders = sum((one.orders_by_kind for one in replays), Counter())
         print(
             f'  orders a play: { ({k: v // seeds for k, v in orders.items()}) }'
