--- a/cowsliprack/platform/engine_client.py
+++ b/cowsliprack/platform/engine_client.py
@@ -16,6 +16,7 @@
 )
 from cowsliprack.state.engine_state import EngineOrder
 from cowsliprack.state.target_registry import TargetRecord
+from cowsliprack.transport.bounded_body import MAX_REPORT_BYTES, read_body
 
 # Seconds. An engine accepts or refuses an order in milliseconds; without a
 # response within this time the outcome of the order is unknown.
@@ -77,16 +78,18 @@
             fence=preconditions.fencing,
             precondition=preconditions.expected_count,
         )
+        request = self.client.build_request(
+            'POST',
+            f'http://{record.address}/-/order',
+            content=msgspec.json.encode(body),
+            headers={
+                'content-type': 'application/json',
+                'x-expect-instance': record.target_id,
+            },
+        )
         try:
             with anyio.fail_after(_ORDER_TIMEOUT_SECONDS):
-                response = await self.client.post(
-                    f'http://{record.address}/-/order',
-                    content=msgspec.json.encode(body),
-                    headers={
-                        'content-type': 'application/json',
-                        'x-expect-instance': record.target_id,
-                    },
-                )
+                status, _ = await self._exchange(request)
         except (httpx.HTTPError, TimeoutError) as failure:
             _log.warning(
                 'order_unanswered',
@@ -94,19 +97,21 @@
                 failure=repr(failure),
             )
             return OrderAnswer.unknown
-        return _ANSWER_BY_STATUS.get(response.status_code, OrderAnswer.unknown)
+        return _ANSWER_BY_STATUS.get(status, OrderAnswer.unknown)
 
     async def survey(self, record: TargetRecord) -> EngineSurvey | None:
         """Return the report of an engine, or ``None`` if it cannot be read.
 
         :param record: registered data of the engine.
         """
+        request = self.client.build_request(
+            'GET',
+            f'http://{record.address}/-/report',
+            headers={'x-expect-instance': record.target_id},
+        )
         try:
             with anyio.fail_after(_REPORT_TIMEOUT_SECONDS):
-                response = await self.client.get(
-                    f'http://{record.address}/-/report',
-                    headers={'x-expect-instance': record.target_id},
-                )
+                status, body = await self._exchange(request)
         except (httpx.HTTPError, TimeoutError) as failure:
             _log.warning(
                 'report_unanswered',
@@ -114,10 +119,10 @@
                 failure=repr(failure),
             )
             return None
-        if response.status_code != _HTTP_OK:
+        if status != _HTTP_OK:
             return None
         try:
-            report = msgspec.json.decode(response.content, type=EngineReport)
+            report = msgspec.json.decode(body, type=EngineReport)
         except msgspec.DecodeError as error:
             _log.warning(
                 'report_malformed',
@@ -133,3 +138,13 @@
             in_memory=frozenset(report.at_hand.in_memory),
             on_disk=frozenset(report.at_hand.on_disk),
         )
+
+    async def _exchange(self, request: httpx.Request) -> tuple[int, bytes]:
+        """Return the status and the body of an engine's response."""
+        response = await self.client.send(request, stream=True)
+        try:
+            body = await read_body(response, MAX_REPORT_BYTES)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await response.aclose()
+        return response.status_code, body
--- a/cowsliprack/transport/answer_relay.py
+++ b/cowsliprack/transport/answer_relay.py
@@ -12,12 +12,10 @@
     StreamError,
     format_chunk,
 )
+from cowsliprack.transport.bounded_body import MAX_ANSWER_BYTES
 from cowsliprack.transport.exchange import Exchange
 from cowsliprack.transport.target_client import TargetResponse
 
-# Answers that are not streams are buffered, so that a truncated one is never
-# relayed; a larger one fails.
-_MAX_BUFFERED_BYTES = 8_000_000
 _EVENT_STREAM = 'text/event-stream'
 _OK = 200
 # Answers with these statuses have no body.
@@ -172,9 +170,9 @@
         buffered = bytearray()
         async for chunk in response.chunks:
             buffered.extend(chunk)
-            if len(buffered) > _MAX_BUFFERED_BYTES:
+            if len(buffered) > MAX_ANSWER_BYTES:
                 raise TargetError(
-                    f'the answer is larger than {_MAX_BUFFERED_BYTES} bytes',
+                    f'the answer is larger than {MAX_ANSWER_BYTES} bytes',
                     Ran.may_have_run,
                 )
         return bytes(buffered)
--- a/cowsliprack/transport/checked_transport.py
+++ b/cowsliprack/transport/checked_transport.py
@@ -27,6 +27,10 @@
 _STATED_IDLE_SHARE = 0.6
 _READ_BYTES = 65536
 _MAX_HEAD_BYTES = 65536
+# Interim responses before the final one.
+_MAX_INTERIM_RESPONSES = 8
+# Interval at which idle connections with unread bytes are closed.
+_SWEEP_SECONDS = 1.0
 # Closes connections whose bytes stay unacknowledged, since a host that has
 # disappeared sends no reset.
 _TCP_USER_TIMEOUT_MS = 4000
@@ -40,7 +44,7 @@
 _SEND_STARTED_EVENT = 'http11.send_request_headers.started'
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Connection:
     """Connection and the state of its HTTP protocol.
 
@@ -144,6 +148,7 @@
     _idle_by_address: dict[tuple[str, int], deque[_Connection]] = field(
         default_factory=dict,
     )
+    _swept_at: float = 0
 
     async def handle_async_request(
         self,
@@ -157,6 +162,7 @@
         :raises httpx.ReadError: the connection failed before the response.
         """
         address = (request.url.host, request.url.port or 80)
+        await self._sweep()
         connection = await self._connect(address, request)
         try:
             return await self._exchange(connection, request)
@@ -184,6 +190,27 @@
         for connection in self._idle_by_address.pop(address, ()):
             await connection.abort()
 
+    async def _sweep(self) -> None:
+        """Close the idle connections that can't be reused.
+
+        A target may send bytes after a complete response until its connection
+        is closed, and no other request to it might follow.
+        """
+        now = self.clock()
+        if now - self._swept_at < _SWEEP_SECONDS:
+            return
+        self._swept_at = now
+        unusable = [
+            connection
+            for idle in self._idle_by_address.values()
+            for connection in idle
+            if not connection.is_reusable(now)
+        ]
+        for connection in unusable:
+            self._idle_by_address[connection.address].remove(connection)
+        for connection in unusable:
+            await connection.abort()
+
     async def _connect(
         self,
         address: tuple[str, int],
@@ -224,11 +251,12 @@
             await trace(_SEND_STARTED_EVENT, {})
         await connection.send(request)
         event = await connection.next_event()
-        while isinstance(event, h11.InformationalResponse):
-            event = await connection.next_event()
+        for _ in range(_MAX_INTERIM_RESPONSES):
+            if isinstance(event, h11.InformationalResponse):
+                event = await connection.next_event()
         if not isinstance(event, h11.Response):
             raise httpx.ReadError(
-                'the connection was closed without a response'
+                'the connection ended without a final response'
             )
         connection.used_until = self.clock() + _idle_seconds(event)
         return httpx.Response(
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -14,8 +14,10 @@
 from cowsliprack.exceptions import ErrorKind, Ran, ServingError, TargetError
 from cowsliprack.logs import log_decision
 from cowsliprack.protocol.dialect import Dialect, ForwardingMetadata
+from cowsliprack.protocol.sse import MAX_EVENT_BYTES
 from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.state.target_registry import TargetRecord
+from cowsliprack.transport.bounded_body import MAX_ANSWER_BYTES, read_body
 from cowsliprack.transport.routed_request import RoutedRequest
 from cowsliprack.transport.target_client import SendTrace
 from cowsliprack.transport.target_finder import TargetFinder, shutting_down
@@ -368,7 +370,7 @@
         if request.route.streams and status == _STATUS_OK:
             await self._forward_stream(request, target, response, sent_at)
             return
-        body = await response.aread()
+        body = await read_body(response, MAX_ANSWER_BYTES)
         if status >= _MIN_SERVER_ERROR_STATUS and self._may_retry_elsewhere(
             request, target
         ):
@@ -414,10 +416,16 @@
         request.splitter.buffer.clear()
         returned = self.dialect.returned_headers(response.headers.raw)
         async for chunk in response.aiter_raw():
-            self.target_selector.record_bytes(target.target_id, self.clock())
             complete_events = request.splitter.feed(chunk)
+            if len(request.splitter.buffer) > MAX_EVENT_BYTES:
+                raise TargetError(
+                    f'an event is larger than {MAX_EVENT_BYTES} bytes',
+                    Ran.may_have_run,
+                )
             if not complete_events:
                 continue
+            # Bytes that complete no event are no sign of progress.
+            self.target_selector.record_bytes(target.target_id, self.clock())
             if not request.first_byte_at:
                 self._record_first_byte(request, target, sent_at)
             if not exchange.started:
--- a/cowsliprack/transport/target_client.py
+++ b/cowsliprack/transport/target_client.py
@@ -13,6 +13,7 @@
 
 from cowsliprack.exceptions import Ran, TargetError
 from cowsliprack.protocol.target import Order, OrderOutcome, TargetReport
+from cowsliprack.transport.bounded_body import MAX_REPORT_BYTES, read_body
 from cowsliprack.transport.probe import is_connection_refused
 
 # A dead host is detected by the short connect timeout; a target that was
@@ -47,6 +48,10 @@
 _REPORT_DECODER = msgspec.json.Decoder(TargetReport)
 
 
+class _OrderAnswer(msgspec.Struct):
+    outcome: OrderOutcome
+
+
 @dataclass(slots=True)
 class SendTrace:
     """Records whether the first byte of a request may have been sent."""
@@ -116,7 +121,8 @@
         """
         trace = SendTrace()
         try:
-            answer = await self._pooled.post(
+            body = await self._read_answer(
+                'POST',
                 f'{url}/v1/orders',
                 content=msgspec.json.encode(order),
                 headers={'content-type': 'application/json'},
@@ -131,7 +137,7 @@
             )
         except httpx.HTTPError:
             return OrderOutcome.unknown if trace.sent else OrderOutcome.refused
-        return _parse_outcome(answer)
+        return _parse_outcome(body)
 
     async def is_down(self, url: str) -> bool:
         """Return whether the connection to a target is refused.
@@ -149,7 +155,8 @@
             the connection was refused, so no target process runs.
         """
         try:
-            answer = await self._pooled.get(
+            body = await self._read_answer(
+                'GET',
                 f'{url}/v1/report',
                 timeout=httpx.Timeout(
                     _REPORT_TIMEOUT_SECONDS,
@@ -164,10 +171,16 @@
         except httpx.HTTPError as failure:
             raise TargetError(repr(failure), Ran.may_have_run) from failure
         try:
-            return _REPORT_DECODER.decode(answer.content)
+            return _REPORT_DECODER.decode(body)
         except msgspec.DecodeError as invalid:
             raise TargetError(str(invalid), Ran.may_have_run) from invalid
 
+    async def _read_answer(
+        self, method: str, url: str, **options: Any
+    ) -> bytes:
+        async with self._pooled.stream(method, url, **options) as answer:
+            return await read_body(answer, MAX_REPORT_BYTES)
+
     @asynccontextmanager
     async def request(
         self, target_request: TargetRequest
@@ -260,10 +273,10 @@
     )
 
 
-def _parse_outcome(answer: httpx.Response) -> OrderOutcome:
+def _parse_outcome(body: bytes) -> OrderOutcome:
     try:
-        return OrderOutcome(answer.json()['outcome'])
-    except (ValueError, KeyError, TypeError):
+        return msgspec.json.decode(body, type=_OrderAnswer).outcome
+    except msgspec.DecodeError:
         # A proxy's error page or a malformed answer proves nothing.
         return OrderOutcome.unknown
 
--- /dev/null
+++ b/tests/steps/bounded_body_steps.py
@@ -0,0 +1,231 @@
+"""Steps for response bodies that never end."""
+
+import asyncio
+import contextlib
+import time
+
+import httpx
+from behave import given, then, when
+
+from cowsliprack.coordination.fleet_view import FleetView
+from cowsliprack.coordination.target_selector import TargetSelector
+from cowsliprack.exceptions import ServingError, TargetError
+from cowsliprack.platform.engine_client import EngineClient
+from cowsliprack.platform.headers import PLATFORM_DIALECT
+from cowsliprack.protocol.engine import OrderPreconditions
+from cowsliprack.protocol.target import Order, OrderKind
+from cowsliprack.state.engine_state import EngineOrder
+from cowsliprack.transport.checked_transport import CheckedTransport
+from cowsliprack.transport.exchange import exchange_from_scope
+from cowsliprack.transport.route_relay import RouteRelay
+from cowsliprack.transport.target_client import TargetClient
+from tests.support.routed import TABLE, routed_request, target_record
+
+_CHUNK = b'1000\r\n%s\r\n' % (b' ' * 4096)
+_CHUNKED_HEAD = b'transfer-encoding: chunked\r\n\r\n'
+_EVENT = b'id: 1\ndata: first\n\n'
+# The rest of the head with the start of the body, the bytes that are repeated,
+# and the pause between them in seconds.
+_BODIES = {
+    'in chunks': (_CHUNKED_HEAD, _CHUNK, 0),
+    'without a length': (b'\r\n', b' ' * 4096, 0),
+    'of a far too large length': (
+        b'content-length: 100000000000\r\n\r\n',
+        b' ' * 4096,
+        0,
+    ),
+    'with an endless first event': (_CHUNKED_HEAD, _CHUNK, 0),
+    'with an endless second event': (
+        b'%s%x\r\n%s\r\n' % (_CHUNKED_HEAD, len(_EVENT), _EVENT),
+        _CHUNK,
+        0,
+    ),
+    'with parts of an event': (_CHUNKED_HEAD, b'1\r\na\r\n', 0.05),
+}
+# Time in which a target without a reader would not notice anything.
+_ENDLESS_SECONDS = 5.0
+_SILENT_SECONDS = 0.5
+
+
+class _EndlessTarget:
+    def __init__(self, framing):
+        self._start, self._endless, self._pause = _BODIES[framing]
+        self.sent_bytes = 0
+        self.was_closed = False
+        self.ended = asyncio.Event()
+        self._open = 0
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nx-attempt-id: id\r\n%s' % self._start)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_ENDLESS_SECONDS):
+                await self._send_until_closed(writer)
+        self.ended.set()
+        writer.close()
+
+    async def _send_until_closed(self, writer):
+        try:
+            while True:
+                writer.write(self._endless)
+                self.sent_bytes += len(self._endless)
+                await writer.drain()
+                await asyncio.sleep(self._pause)
+        except ConnectionError:
+            self.was_closed = True
+
+
+@given('a target whose response body {framing} never ends')
+def given_target(context, framing):
+    context.framing = framing
+
+
+@when('it gets {call}')
+def when_called(context, call):
+    asyncio.run(_call(context, _CALLS[call]))
+
+
+async def _call(context, call):
+    context.target = _EndlessTarget(context.framing)
+    listener = await asyncio.start_server(context.target.serve, '127.0.0.1', 0)
+    address = f'127.0.0.1:{listener.sockets[0].getsockname()[1]}'
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_ENDLESS_SECONDS):
+            context.result = await call(context, address)
+    async with asyncio.timeout(_ENDLESS_SECONDS * 2):
+        await context.target.ended.wait()
+    listener.close()
+
+
+async def _survey(_context, address):
+    async with httpx.AsyncClient(transport=CheckedTransport()) as client:
+        survey = await EngineClient(client).survey(
+            target_record('e1', address=address)
+        )
+    return 'no report' if survey is None else 'a report'
+
+
+async def _order(_context, address):
+    async with httpx.AsyncClient(transport=CheckedTransport()) as client:
+        answer = await EngineClient(client).send_order(
+            target_record('e1', address=address),
+            EngineOrder('e1', OrderKind.load, 'm0'),
+            OrderPreconditions('g1', 1, 0),
+        )
+    return answer.value
+
+
+async def _older_report(_context, address):
+    client = TargetClient()
+    try:
+        await client.read_report(f'http://{address}')
+    except TargetError as error:
+        return error.ran.value
+    finally:
+        await client.aclose()
+    return 'a report'
+
+
+async def _older_order(_context, address):
+    client = TargetClient()
+    order = Order('o1', OrderKind.load, 't1', 'd', 1)
+    try:
+        return (await client.send_order(f'http://{address}', order)).value
+    finally:
+        await client.aclose()
+
+
+class _Finder:
+    def __init__(self, record):
+        self._record = record
+
+    async def find(self, _request):
+        return self._record
+
+
+async def _forward(context, address, path, service):
+    async def send(_message):
+        await asyncio.sleep(0)
+
+    record = target_record('e1', address=address)
+    context.selector = TargetSelector('z')
+    scope = {
+        'method': 'GET',
+        'path': path,
+        'query_string': b'',
+        'headers': [(b'host', b'desk.example'), (b'x-attempt-id', b'id')],
+    }
+    async with httpx.AsyncClient(transport=CheckedTransport()) as client:
+        relay = RouteRelay(
+            client=client,
+            dialect=PLATFORM_DIALECT,
+            fleet=FleetView(),
+            target_selector=context.selector,
+            finder=_Finder(record),
+            apply_retry_limit=lambda _budget: None,
+            table=lambda: TABLE,
+            demand_changed=lambda: None,
+            clock=time.monotonic,
+        )
+        request = routed_request(
+            path,
+            service,
+            time.monotonic(),
+            _ENDLESS_SECONDS * 2,
+            exchange=exchange_from_scope(scope, None, send),
+        )
+        try:
+            await relay.serve(request)
+        except ServingError as error:
+            return error.kind.value
+    return 'answered'
+
+
+async def _request(context, address):
+    return await _forward(context, address, '/stock/1', 'shop')
+
+
+async def _stream(context, address):
+    if context.framing != 'with parts of an event':
+        return await _forward(context, address, '/report/1', 'llm')
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_SILENT_SECONDS * 2):
+            serving = asyncio.create_task(
+                _forward(context, address, '/report/1', 'llm')
+            )
+            await asyncio.sleep(_SILENT_SECONDS)
+            context.silence = context.selector.silence('e1', time.monotonic())
+            await asyncio.shield(serving)
+    serving.cancel()
+    return 'cancelled'
+
+
+_CALLS = {
+    'a survey': _survey,
+    'an order': _order,
+    'a report of the older path': _older_report,
+    'an order of the older path': _older_order,
+    'a repeatable request': _request,
+    'a stream': _stream,
+}
+
+
+@then('the result is "{expected}"')
+def then_result(context, expected):
+    assert getattr(context, 'result', None) == expected, context.result
+
+
+@then('the target has noticed that its connection was closed')
+def then_closed(context):
+    assert context.target.was_closed
+
+
+@then('the target could send at most {megabytes:d} MB')
+def then_sent(context, megabytes):
+    sent = context.target.sent_bytes
+    assert sent <= megabytes * 1_000_000, sent
+
+
+@then('the target has been silent for at least {seconds:g} seconds')
+def then_silent(context, seconds):
+    assert context.silence >= seconds, context.silence
--- a/tests/steps/checked_transport_steps.py
+++ b/tests/steps/checked_transport_steps.py
@@ -1,6 +1,7 @@
 """Steps for connections that are inspected before each reuse."""
 
 import asyncio
+import contextlib
 
 import httpx
 from behave import given, then, when
@@ -34,6 +35,39 @@
 }
 
 
+# A start that is sent once, and bytes that are repeated without end.
+_ENDLESS_BYTES = {
+    'a head line': (b'HTTP/1.1 200 OK\r\nx-padding: ', b'a' * 4096),
+    'head lines': (b'HTTP/1.1 200 OK\r\n', b'x-padding: a\r\n' * 256),
+    'interim responses': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 128),
+    'the size line of a chunk': (
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;',
+        b'a' * 4096,
+    ),
+    'trailer lines': (
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n',
+        b'x-padding: a\r\n' * 256,
+    ),
+}
+# Time in which a server without a reader would not notice anything.
+_ENDLESS_SECONDS = 5.0
+
+
+async def _send_without_end(server, writer, what):
+    start, endless = _ENDLESS_BYTES[what]
+    writer.write(start)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_ENDLESS_SECONDS):
+            try:
+                while True:
+                    writer.write(endless)
+                    server.sent_bytes += len(endless)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+            except ConnectionError:
+                server.was_closed = True
+
+
 async def _read_head(reader):
     head = await reader.readuntil(b'\r\n\r\n')
     return head.split(b' ')[1]
@@ -44,6 +78,9 @@
         self.response = response
         self.after = after
         self.connections = 0
+        self.endless = ''
+        self.sent_bytes = 0
+        self.was_closed = False
 
     async def serve(self, reader, writer):
         self.connections += 1
@@ -57,6 +94,9 @@
 
     async def _serve_one(self, reader, writer):
         path = await _read_head(reader)
+        if self.endless and self.after is None:
+            await _send_without_end(self, writer, self.endless)
+            return False
         if self.response is not None:
             writer.write(self.response)
             await writer.drain()
@@ -67,6 +107,9 @@
             % (header, len(path), path)
         )
         await writer.drain()
+        if self.endless:
+            await _send_without_end(self, writer, self.endless)
+            return False
         if stray:
             await asyncio.sleep(_PAUSE_SECONDS / 2)
             writer.write(stray)
@@ -79,6 +122,20 @@
     context.server = _Server(after=_BYTES_AFTER_RESPONSE[what])
 
 
+@given('a server that sends {what} without end')
+def given_endless(context, what):
+    context.server = _Server()
+    context.server.endless = what
+
+
+@given('a server that never stops sending {what} after its response')
+def given_endless_after(context, what):
+    context.server = _Server(
+        after=_BYTES_AFTER_RESPONSE['keeps the connection']
+    )
+    context.server.endless = what
+
+
 @given('a server whose response {fault}')
 def given_faulty_response(context, fault):
     context.server = _Server(response=_FAULTY_RESPONSES[fault])
@@ -112,6 +169,8 @@
             except httpx.HTTPError as error:
                 context.responses.append(error)
             await asyncio.sleep(_PAUSE_SECONDS)
+        if context.server is not None and context.server.endless:
+            await asyncio.sleep(_PAUSE_SECONDS)
     if listener is not None:
         listener.close()
 
@@ -126,6 +185,38 @@
     asyncio.run(_send_requests(context, ['/only']))
 
 
+async def _send_to_two_servers(context):
+    now = 0.0
+    other = _Server(after=_BYTES_AFTER_RESPONSE['keeps the connection'])
+    transport = CheckedTransport(clock=lambda: now)
+    async with httpx.AsyncClient(transport=transport) as client:
+        for server in (context.server, other):
+            listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+            port = listener.sockets[0].getsockname()[1]
+            await client.get(f'http://127.0.0.1:{port}/only')
+            await asyncio.sleep(_PAUSE_SECONDS)
+            now += 2
+        await asyncio.sleep(_PAUSE_SECONDS)
+        context.was_closed_by_client = context.server.was_closed
+
+
+@when('one request is sent, and 2 seconds later one to another server')
+def when_other_server(context):
+    asyncio.run(_send_to_two_servers(context))
+
+
+@then('the server has noticed that its connection was closed')
+def then_closed(context):
+    assert context.server.was_closed
+
+
+@then('it could send at most {megabytes:d} MB')
+def then_sent_bytes(context, megabytes):
+    assert context.server.sent_bytes <= megabytes * 1_000_000, (
+        context.server.sent_bytes
+    )
+
+
 @then('each gets its own response')
 def then_own(context):
     assert context.responses == ['/first', '/second'], context.responses
--- /dev/null
+++ b/tests/transport/bounded_body.feature
@@ -0,0 +1,29 @@
+Feature: Response bodies that never end
+  Guards against a faulty target that sends bytes until its connection is
+  closed: they filled the memory of the instance until the request timed out
+  (P8, P9).
+
+  Scenario Outline: <call> ends with "<result>" when the body <framing> never ends
+    Given a target whose response body <framing> never ends
+    When it gets <call>
+    Then the result is "<result>"
+    And the target has noticed that its connection was closed
+    And the target could send at most <megabytes> MB
+
+    Examples:
+      | call                       | framing                        | result         | megabytes |
+      | a survey                   | in chunks                      | no report      | 16        |
+      | a survey                   | without a length               | no report      | 16        |
+      | an order                   | in chunks                      | unknown        | 16        |
+      | a report of the older path | in chunks                      | may have run   | 16        |
+      | an order of the older path | in chunks                      | unknown        | 16        |
+      | a repeatable request       | in chunks                      | target_failed  | 32        |
+      | a repeatable request       | without a length               | target_failed  | 32        |
+      | a repeatable request       | of a far too large length      | target_failed  | 32        |
+      | a stream                   | with an endless first event    | target_failed  | 16        |
+      | a stream                   | with an endless second event   | stream_broken  | 16        |
+
+  Scenario: An engine that only sends parts of an event counts as silent
+    Given a target whose response body with parts of an event never ends
+    When it gets a stream
+    Then the target has been silent for at least 0.4 seconds
--- a/tests/transport/checked_transport.feature
+++ b/tests/transport/checked_transport.feature
@@ -39,3 +39,28 @@
     Given a server that refuses connections
     When one request is sent
     Then it fails and no byte counts as sent
+
+  Scenario Outline: A target that sends <what> without end is cut off
+    Given a server that sends <what> without end
+    When one request is sent
+    Then it fails and its bytes count as sent
+    And the server has noticed that its connection was closed
+    And it could send at most 16 MB
+
+    Examples:
+      | what                       |
+      | a head line                |
+      | head lines                 |
+      | interim responses          |
+      | the size line of a chunk   |
+      | trailer lines              |
+
+  Scenario Outline: A target that sends <what> without end after a response is cut off
+    Given a server that never stops sending <what> after its response
+    When one request is sent, and 2 seconds later one to another server
+    Then the server has noticed that its connection was closed
+
+    Examples:
+      | what        |
+      | a head line |
+      | head lines  |
