--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -9,16 +9,15 @@
 
 from cowsliprack.state.engine_state import EngineState
 
-# Concurrent cold loads while requests arrive, as a share of all engines and in
-# total, and while none arrive.
+# Concurrent cold loads: the weight store's limit until its speed is known, and
+# the maximum as a share of the engines, since each load blocks one of them.
+_INITIAL_COLD_LOADS = 4
 _MAX_COLD_LOAD_SHARE = 0.1
-_MAX_COLD_LOADS = 2
-_MAX_COLD_LOADS_WHEN_IDLE = 4
 # A load that exceeds its configured time by this factor indicates too many
 # concurrent loads.
 _SLOWDOWN_LIMIT = 1.25
-# A load that serves this many requests in time gets the limit of idle times: a
-# busy model that lost its engines.
+# A load that serves this many requests in time may exceed the share of engines:
+# a busy model that lost its engines.
 _URGENT_REQUESTS = 5
 # The rate of cold loads is limited over this window.
 _RATE_WINDOW_SECONDS = 5.0
@@ -45,10 +44,12 @@
 def count_cold_loads(engines: Iterable[EngineState]) -> int:
     """Return the number of running or assigned loads from the weight store.
 
+    An order of an earlier leader counts, since it may be such a load.
+
     :param engines: engines of one service.
     """
     return sum(
-        bool(name) and engine.is_cold(name)
+        engine.has_unknown_order() or (bool(name) and engine.is_cold(name))
         for engine in engines
         for name in (engine.assigned_model or engine.loading_model(),)
     )
@@ -61,21 +62,29 @@
     :param served_requests: requests that one more load serves in time.
     :param is_idle: whether no requests arrive.
     """
+    share = max(1, round(engines * _MAX_COLD_LOAD_SHARE))
     if is_idle or served_requests >= _URGENT_REQUESTS:
-        return _MAX_COLD_LOADS_WHEN_IDLE
-    return max(1, min(_MAX_COLD_LOADS, round(engines * _MAX_COLD_LOAD_SHARE)))
+        return max(share, _INITIAL_COLD_LOADS)
+    return share
 
 
 @dataclass(slots=True)
 class ColdLoadLimit:
     """Limits cold loads by their rate and by the speed of the weight store.
 
+    The store divides its bandwidth among concurrent loads beyond some number,
+    so more of them serve no more models, but block more engines for longer.
+
     :param starts: start times of recent cold loads, seconds.
-    :param store_limit: concurrent loads that the store serves at full speed.
+    :param store_limit: concurrent loads that the store serves at full speed,
+        as far as known.
+    :param on_time: loads at that limit that ended on time since its last
+        change.
     """
 
     starts: list[float] = field(default_factory=list)
-    store_limit: int = _MAX_COLD_LOADS_WHEN_IDLE
+    store_limit: int = _INITIAL_COLD_LOADS
+    on_time: int = 0
 
     def may_start(self, loads_per_second: float, now: float) -> bool:
         """Return whether the rate of loads admits one more.
@@ -89,15 +98,22 @@
         ]
         return len(self.starts) < loads_per_second * _RATE_WINDOW_SECONDS
 
-    def record_end(self, concurrent: int, slowdown: float) -> None:
+    def record_end(self, at_start: int, at_end: int, slowdown: float) -> None:
         """Adjust the limit of the store after a load has ended.
 
-        :param concurrent: concurrent loads, including this one.
+        Loads that begin together end one by one, so the number at the end of
+        one alone does not show what has slowed it down.
+
+        :param at_start: concurrent loads when it began, including itself.
+        :param at_end: concurrent loads when it ended, including itself.
         :param slowdown: duration in multiples of the configured time.
         """
         if slowdown > _SLOWDOWN_LIMIT:
-            self.store_limit = max(1, int(concurrent / slowdown))
-        else:
-            self.store_limit = min(
-                self.store_limit + 1, _MAX_COLD_LOADS_WHEN_IDLE
-            )
+            most = max(at_start, at_end)
+            self.store_limit = max(1, round(most / slowdown))
+            self.on_time = 0
+            return
+        self.on_time += at_start >= self.store_limit
+        if self.on_time > self.store_limit:
+            self.store_limit += 1
+            self.on_time = 0
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -201,14 +201,23 @@
             len(self._index.usable),
         )
 
-    def end_cold_load(self, model: ModelSpec, seconds: float) -> None:
+    def end_cold_load(
+        self, engine: EngineState, model: ModelSpec, seconds: float
+    ) -> None:
         """Adapt the concurrency limit for loads from the weight store.
 
-        :param model: the model that was loaded.
+        :param engine: the engine that has loaded the model.
+        :param model: the model.
         :param seconds: duration of the load.
         """
-        at_once = count_cold_loads(self.engines_by_id.values()) + 1
-        self._cold.record_end(at_once, seconds / model.cold_seconds)
+        others = count_cold_loads(
+            other
+            for other in self.engines_by_id.values()
+            if other is not engine
+        )
+        self._cold.record_end(
+            engine.cold_loads_at_start, others + 1, seconds / model.cold_seconds
+        )
 
     def _update_index(self, groups: list[GroupDemand], now: float) -> None:
         """Index the engines once, rather than once for each model."""
@@ -352,6 +361,9 @@
             engine.assigned_model = ''
             if engine.is_cold(model):
                 self._cold.starts.append(now)
+                engine.cold_loads_at_start = count_cold_loads(
+                    self.engines_by_id.values()
+                )
         return order
 
     def _cancel_eviction(self, model: str) -> bool:
--- a/cowsliprack/state/engine_state.py
+++ b/cowsliprack/state/engine_state.py
@@ -36,6 +36,8 @@
     :param order_count: number of orders that the engine has accepted.
     :param order: order in progress; an engine carries out one at a time.
     :param order_attempts: number of times that the order was sent.
+    :param cold_loads_at_start: concurrent loads from the weight store when its
+        last one began, including that one.
     :param assigned_model: model that is to be loaded once other models are
         evicted; empty for none.
     :param assigned_at: time of that assignment, seconds.
@@ -59,6 +61,7 @@
     order_count: int = 0
     order: EngineOrder | None = None
     order_attempts: int = 0
+    cold_loads_at_start: int = 1
     assigned_model: str = ''
     assigned_at: float = 0
     draining_models: set[str] = field(default_factory=set)
@@ -93,6 +96,10 @@
             return ''
         return '' if order.adapter else order.model
 
+    def has_unknown_order(self) -> bool:
+        """Return whether it carries out an order of an earlier leader."""
+        return self.order is not None and not self.order.model
+
     def is_cold(self, model: str) -> bool:
         """Return whether it must load a model from the weight store.
 
--- a/cowsliprack/transport/order_executor.py
+++ b/cowsliprack/transport/order_executor.py
@@ -286,6 +286,8 @@
         if is_cold:
             # The weight store is slower while it serves many loads.
             await self._wait_until_idle(engine)
+            if not self.is_current(engine):
+                return
             took = self.clock() - began_at
             log_decision(
                 'cold_load_ended',
@@ -296,7 +298,7 @@
                 stated_ms=round(seconds * 1000),
                 cold_loads=count_cold_loads(scheduler.engines_by_id.values()),
             )
-            scheduler.end_cold_load(model, took)
+            scheduler.end_cold_load(engine, model, took)
 
     async def _wait_until_idle(self, engine: EngineState) -> None:
         while self.is_current(engine):
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -231,6 +231,38 @@
     And the scheduler plans for 1 second without demand
     Then 2 loads were ordered
 
+  Scenario: Loads that end one by one show what the weight store serves at once
+    Given 9 empty engines
+    And of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 took twice the expected time
+    When the scheduler plans for 1 second without demand
+    And the scheduler plans for 1 second without demand
+    Then 2 loads were ordered
+
+  Scenario: Loads on time raise the limit step by step
+    Given 56 empty engines
+    And of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 took twice the expected time
+    And 2 loads at the limit ended on time
+    When the scheduler plans for 1 second without demand
+    And the scheduler plans for 1 second without demand
+    Then 2 loads were ordered
+
+  Scenario: Loads on time raise the limit after a while
+    Given 56 empty engines
+    And of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 took twice the expected time
+    And 3 loads at the limit ended on time
+    When the scheduler plans for 1 second without demand
+    And the scheduler plans for 1 second without demand
+    Then 3 loads were ordered
+
+  Scenario: An order of an earlier leader counts as a load from the weight store
+    Given engine e1 holds a
+    And engine e2 holds b
+    And e1 executes an order of an earlier leader
+    And a is requested often
+    And 1 request waits for f
+    When the scheduler plans
+    Then the orders are ""
+
   Scenario: A replica stays while the other engine lacks capacity for its requests
     Given engine e1 holds a, b and has c on disk
     And engine e2 holds a, d and has c on disk
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -70,9 +70,9 @@
     engine.used_at_by_name['a/x1'] = _NOW - 0.05
 
 
-@given('9 empty engines')
-def given_empty(context):
-    for number in range(9):
+@given('{count:d} empty engines')
+def given_empty(context, count):
+    for number in range(count):
         _add_engine(context, f'e{number}', [])
 
 
@@ -91,6 +91,33 @@
     )
 
 
+@when('the request for {name:w} has timed out')
+def when_timed_out(context, name):
+    context.groups = [group for group in context.groups if group.model != name]
+
+
+@when('the weight store load on {name:w} has ended')
+def when_load_ended(context, name):
+    engine = context.scheduler.engines_by_id[name]
+    context.loaded = engine.order.model
+    engine.record = replace(
+        engine.record, on_disk=engine.record.on_disk | {engine.order.model}
+    )
+    finish_order(engine, engine.order, context.now)
+    context.groups = [
+        group for group in context.groups if group.model != context.loaded
+    ]
+    context.now += 1
+
+
+@when('{name:w} crashes during its load and is back with its disk')
+def when_crashed(context, name):
+    scheduler = context.scheduler
+    record = scheduler.engines_by_id.pop(name).record
+    scheduler.plan(context.groups, context.now)
+    scheduler.engines_by_id[name] = EngineState(record, surveyed=True)
+
+
 @given('{count:d} request waits for {name:S}')
 @given('{count:d} requests at different instances wait for {name:S}')
 @when('{count:d} request waits for {name:S}')
@@ -195,6 +222,23 @@
                 finish_order(engine, engine.order, context.now)
 
 
+@given('{name:w} executes an order of an earlier leader')
+def given_unknown_order(context, name):
+    context.scheduler.engines_by_id[name].order = EngineOrder(
+        name, OrderKind.unload, ''
+    )
+
+
+@given('{count:d} loads at the limit ended on time')
+def given_on_time(context, count):
+    scheduler = context.scheduler
+    model = _spec().models_by_name['a']
+    engine = scheduler.engines_by_id['e1']
+    engine.cold_loads_at_start = 2
+    for _ in range(count):
+        scheduler.end_cold_load(engine, model, model.cold_seconds)
+
+
 @when('{name:w} has executed its order')
 def when_order_ends(context, name):
     context.scheduler.engines_by_id[name].order = None
@@ -219,12 +263,31 @@
 
 @given('4 concurrent loads from the weight store took twice the expected time')
 def given_slow_loads(context):
-    for number in range(1, 4):
-        engine = context.scheduler.engines_by_id[f'e{number}']
+    _end_concurrent_loads(context, (2, 2, 2, 2))
+
+
+@given(
+    'of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 '
+    'took twice the expected time'
+)
+def given_divided_bandwidth(context):
+    _end_concurrent_loads(context, (1, 1, 1.5, 2))
+
+
+def _end_concurrent_loads(context, slowdowns):
+    """End loads that began at the same time one after the other."""
+    scheduler = context.scheduler
+    model = _spec().models_by_name['a']
+    loading = [
+        scheduler.engines_by_id[f'e{number + 1}']
+        for number in range(len(slowdowns))
+    ]
+    for number, engine in enumerate(loading, start=1):
         engine.assigned_model = 'a'
-    context.scheduler.end_cold_load(_spec().models_by_name['a'], 12)
-    for engine in context.scheduler.engines_by_id.values():
+        engine.cold_loads_at_start = number
+    for engine, slowdown in zip(loading, slowdowns, strict=True):
         engine.assigned_model = ''
+        scheduler.end_cold_load(engine, model, slowdown * model.cold_seconds)
 
 
 @when('the scheduler plans for 1 second without demand')
