--- a/cowsliprack/coordination/engine_index.py
+++ b/cowsliprack/coordination/engine_index.py
@@ -20,6 +20,7 @@
         memory or on disk.
     :param pending_models: models that are being loaded or are assigned to an
         engine.
+    :param most_copies: largest number of models on the disk of one engine.
     """
 
     usable: list[EngineState] = field(default_factory=list)
@@ -32,6 +33,7 @@
         default_factory=lambda: defaultdict(list),
     )
     pending_models: set[str] = field(default_factory=set)
+    most_copies: int = 1
 
     def offering(self, model: str) -> list[EngineState]:
         """Return the usable engines that accept requests for a model.
@@ -44,13 +46,35 @@
             if model not in engine.draining_models
         ]
 
+    def has_copy(self, model: str) -> bool:
+        """Return whether a usable engine holds or caches a model.
+
+        :param model: its name.
+        """
+        return bool(self.copies_by_model[model] or self.holding_by_model[model])
+
     def is_missing(self, model: str) -> bool:
         """Return whether no engine holds, caches or loads a model.
 
         :param model: its name.
         """
-        is_known = self.copies_by_model[model] or self.holding_by_model[model]
-        return not is_known and model not in self.pending_models
+        return not self.has_copy(model) and model not in self.pending_models
+
+    def only_copy_risk(self, engine: EngineState) -> float:
+        """Return the probability that a cold load evicts an only copy.
+
+        Disks evict the least recently used copy, which is none that this
+        leader has had loaded. Engines of a service have disks of one size, so
+        the most copies on one of them show when a disk is full.
+
+        :param engine: the engine that would load a model.
+        """
+        on_disk = engine.record.on_disk
+        if len(on_disk) < self.most_copies:
+            return 0
+        evictable = on_disk.difference(engine.loaded_at_by_model) or on_disk
+        only = sum(len(self.copies_by_model[name]) == 1 for name in evictable)
+        return only / len(evictable)
 
     def waiting_shares(self, waiting: Iterable[str]) -> dict[str, float]:
         """Return how many models wait to be loaded by each engine.
@@ -86,6 +110,7 @@
         )
         for held in engine.adapters_by_model:
             index.holding_by_model[held].append(engine)
+        index.most_copies = max(index.most_copies, len(engine.record.on_disk))
         for at_hand in engine.record.in_memory | engine.record.on_disk:
             index.copies_by_model[at_hand].append(engine)
     return index
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -421,9 +421,12 @@
         model = self.spec.models_by_name[candidate.model]
         load_seconds = self.load_seconds(engine, model)
         if engine.is_cold(model.name):
-            # The load also delays all other models that need this engine.
-            load_seconds *= 1 + self._waiting_share_by_id.get(
-                engine.target_id, 0
+            # The load also delays all other models that need this engine, and
+            # may evict the only copy of one from its disk.
+            load_seconds *= (
+                1
+                + self._waiting_share_by_id.get(engine.target_id, 0)
+                + self._index.only_copy_risk(engine)
             )
         if self._has_room(engine, model):
             yield _Placement(engine, (), load_seconds)
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -263,6 +263,21 @@
     When the scheduler plans
     Then the orders are ""
 
+  Scenario: A load from the weight store does not evict an only copy
+    Given engine e1 holds a and has b, c on disk
+    And engine e2 holds d and has a, e on disk
+    And engine e3 holds a and has b, d on disk
+    And 1 request waits for f
+    When the scheduler plans
+    Then f is assigned to e3
+
+  Scenario: A load from the weight store goes to a disk with free space
+    Given engine e1 holds a and has b, c on disk
+    And engine e2 holds d and has e on disk
+    And 1 request waits for f
+    When the scheduler plans
+    Then f is assigned to e2
+
   Scenario: A replica stays while the other engine lacks capacity for its requests
     Given engine e1 holds a, b and has c on disk
     And engine e2 holds a, d and has c on disk
