--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -4,7 +4,7 @@
 and more than a few at a time slow each other down in the store.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from cowsliprack.state.engine_state import EngineState
@@ -18,7 +18,7 @@
 _SLOWDOWN_LIMIT = 1.25
 # A load that serves this many requests in time may exceed the share of engines:
 # a busy model that lost its engines.
-_URGENT_REQUESTS = 5
+URGENT_REQUESTS = 5
 # The rate of cold loads is limited over this window.
 _RATE_WINDOW_SECONDS = 5.0
 
@@ -41,6 +41,37 @@
     engines: int = 0
 
 
+@dataclass(slots=True)
+class MissingModels:
+    """Models without a copy on any engine that requests have waited for.
+
+    :param since_by_model: when the first of these requests was seen, seconds.
+    """
+
+    since_by_model: dict[str, float] = field(default_factory=dict)
+
+    def update(
+        self,
+        waiting_models: Iterable[str],
+        has_copy: Callable[[str], bool],
+        now: float,
+    ) -> None:
+        """Add models that are missing and remove those that no longer are.
+
+        A model stays until there is a copy: its requests time out before a load
+        from the weight store can end, and the loading engine may fail.
+
+        :param waiting_models: models with waiting requests.
+        :param has_copy: returns whether an engine has a copy of a model.
+        :param now: seconds.
+        """
+        for waiting in waiting_models:
+            self.since_by_model.setdefault(waiting, now)
+        for name in list(self.since_by_model):
+            if has_copy(name):
+                self.since_by_model.pop(name)
+
+
 def count_cold_loads(engines: Iterable[EngineState]) -> int:
     """Return the number of running or assigned loads from the weight store.
 
@@ -63,7 +94,7 @@
     :param is_idle: whether no requests arrive.
     """
     share = max(1, round(engines * _MAX_COLD_LOAD_SHARE))
-    if is_idle or served_requests >= _URGENT_REQUESTS:
+    if is_idle or served_requests >= URGENT_REQUESTS:
         return max(share, _INITIAL_COLD_LOADS)
     return share
 
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -12,7 +12,9 @@
 
 from cowsliprack.coordination.adapter_placement import plan_adapter
 from cowsliprack.coordination.cold_loads import (
+    URGENT_REQUESTS,
     ColdLoadLimit,
+    MissingModels,
     MissingWeights,
     count_cold_loads,
     max_cold_loads,
@@ -118,6 +120,7 @@
     _cold: ColdLoadLimit = field(default_factory=ColdLoadLimit)
     _engine_ids: frozenset[str] = frozenset()
     _engines_stable_since: float = 0
+    _missing: MissingModels = field(default_factory=MissingModels)
     # Rebuilt at the start of each plan.
     _index: EngineIndex = field(default_factory=EngineIndex)
     _waiting_models: set[str] = field(default_factory=set)
@@ -145,7 +148,9 @@
             *self._scale_up_candidates(),
         ]
         candidates.sort(
-            key=lambda candidate: (-candidate.benefit, candidate.target_at)
+            key=lambda candidate: _scheduling_order(
+                candidate, self._missing.since_by_model
+            )
         )
         for candidate in candidates:
             orders.extend(self._schedule(candidate, now))
@@ -231,6 +236,7 @@
             self._engine_ids = engine_ids
             self._engines_stable_since = now
         self.rates.update_idle(now)
+        self._missing.update(self._waiting_models, self._index.has_copy, now)
 
     def _scale_up_threshold(self) -> float:
         share = self.spec.slots * _SCALE_UP_SHARE
@@ -484,6 +490,9 @@
         return model.size + adapters * model.adapter_size
 
     def _may_load_cold(self, candidate: _LoadCandidate, now: float) -> bool:
+        if not candidate.count and self._missing.since_by_model:
+            # A load for an additional replica would serve no other model.
+            return False
         most = self._max_cold_loads(candidate.benefit, now)
         return count_cold_loads(self.engines_by_id.values()) < most and (
             self._cold.may_start(self.spec.loads_per_second, now)
@@ -530,6 +539,23 @@
         return orders
 
 
+def _scheduling_order(
+    candidate: _LoadCandidate,
+    missing_since_by_model: Mapping[str, float],
+) -> tuple[int, float, float]:
+    """Return the sort key of a candidate; the smallest goes first.
+
+    The weight store loads only some of the models that lie on no engine, and
+    each load serves few requests of a rare model. The one that has been missing
+    for longest goes first, so that each gets its turn; by benefit, models that
+    lose their copies again and again would go before those never loaded.
+    """
+    missing_since = missing_since_by_model.get(candidate.model)
+    if missing_since is None or candidate.benefit >= URGENT_REQUESTS:
+        return (0, -candidate.benefit, candidate.target_at)
+    return (1, missing_since, candidate.target_at)
+
+
 def _least_needed(
     replicas: list[EngineState],
     name: str,
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -263,6 +263,48 @@
     When the scheduler plans
     Then the orders are ""
 
+  Scenario: The model that has been missing for longest is loaded next
+    Given engine e1 holds a
+    And a is requested often
+    And 1 request waits for f
+    When the scheduler plans
+    And 1 request waits for d
+    And the scheduler plans
+    And 3 requests at different instances wait for e
+    And the weight store load on e1 has ended
+    And the scheduler plans
+    And the orders have been executed
+    And the scheduler plans
+    Then the orders are "e1 load d"
+
+  Scenario: A missing model keeps its turn when its requests have timed out
+    Given engine e1 holds a
+    And a is requested often
+    And 1 request waits for f
+    When the scheduler plans
+    And 1 request waits for d
+    And the scheduler plans
+    And the request for d has timed out
+    And 3 requests at different instances wait for e
+    And the scheduler plans
+    And 1 request waits for d
+    And the weight store load on e1 has ended
+    And the scheduler plans
+    And the orders have been executed
+    And the scheduler plans
+    Then the orders are "e1 load d"
+
+  Scenario: A missing model keeps its turn when the loading engine crashes
+    Given engine e1 holds a
+    And a is requested often
+    And 1 request waits for d
+    When the scheduler plans
+    And 3 requests at different instances wait for e
+    And the scheduler plans
+    And e1 crashes during its load and is back with its disk
+    And the scheduler plans
+    Then the orders are "e1 load d"
+
   Scenario: A load from the weight store does not evict an only copy
     Given engine e1 holds a and has b, c on disk
     And engine e2 holds d and has a, e on disk
@@ -278,6 +320,14 @@
     When the scheduler plans
     Then f is assigned to e2
 
+  Scenario: No weight store load for a replica while another model is missing
+    Given engine e1 holds a, b and has c on disk
+    And engine e2 holds c and has b on disk
+    And e1 runs 24 requests for a
+    And 1 request waits for f
+    When the scheduler plans
+    Then the orders are "e2 load f"
+
   Scenario: A replica stays while the other engine lacks capacity for its requests
     Given engine e1 holds a, b and has c on disk
     And engine e2 holds a, d and has c on disk
