--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -26,6 +26,10 @@
 # Seconds for which a silent instance keeps its share of divided limits, since
 # it may still run behind a network partition.
 _LIMIT_SHARE_SECONDS = 60.0
+# Seconds after which a configuration is sent again to an instance that has not
+# reported it; longer than the interval of reports. Copies sent with each view
+# would fill the leader's link, since acknowledgements take longer than a plan.
+_COPY_INTERVAL_SECONDS = 0.5
 # Placeholder for a latency target that has been missed.
 _MISSED_TARGET = float('-inf')
 
@@ -36,11 +40,30 @@
 
     :param seen_at: time of its last report, seconds.
     :param stamp: stamp of the last unanswered report; 0 for none.
+    :param copied_generation: generation of the last configuration sent to it.
+    :param copied_at: when that was sent, seconds.
     """
 
     report: MemberReport
     seen_at: float
     stamp: float = 0
+    copied_generation: int = 0
+    copied_at: float = float('-inf')
+
+    def needs_copy(self, generation: int, now: float) -> bool:
+        """Return whether to send it the configuration now, and record that.
+
+        :param generation: generation of the configuration in force.
+        :param now: seconds.
+        """
+        if self.report.generation >= generation:
+            return False
+        is_sent = self.copied_generation >= generation
+        if is_sent and now - self.copied_at < _COPY_INTERVAL_SECONDS:
+            return False
+        self.copied_generation = generation
+        self.copied_at = now
+        return True
 
 
 @dataclass(slots=True)
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -307,6 +307,7 @@
             generation=table.generation,
             revision=revision,
             source='leader' if revision is None else 'store',
+            bytes=len(self._configuration_copy),
             limits={
                 name: (organisation.rate, organisation.burst)
                 for name, organisation in table.organisations_by_name.items()
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -252,6 +252,7 @@
                 self._apply_credit_answer(message)
             case ConfigurationCopy():
                 self.context.apply_configuration_copy(message.spec)
+                self._report_due.set()
 
     def _apply_view(self, view: LeaderView) -> None:
         if view.fencing < self._view_fencing:
@@ -282,6 +283,9 @@
             now,
             is_full=not view.base,
         )
+        if not view.base:
+            # Until a report acknowledges it, each view is a full one.
+            self._report_due.set()
         if view.engines:
             self.context.target_selector.update_reported(
                 {engine.target_id: engine.running for engine in view.engines},
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -244,7 +244,7 @@
             lease_version=self._lease.observation.version,
             lease_left=left,
         )
-        if report.generation < table.generation:
+        if member.needs_copy(table.generation, context.clock()):
             copy = ConfigurationCopy(context.configuration_copy())
             self._deliver(report.instance_id, report.address, copy)
         self._deliver(report.instance_id, report.address, view)
--- a/tests/coordination/region_state.feature
+++ b/tests/coordination/region_state.feature
@@ -33,3 +33,16 @@
       | the only instance    | yes    |
       | one of two instances | no     |
       | no instance          | no     |
+
+  Scenario: A configuration is not sent with each view
+    Given a leader with generation 2 and an instance that reports generation 1
+    When it sends a view every 0.05 seconds for 0.4 seconds
+    Then the instance has been sent 1 copy of the configuration
+    When it sends a view every 0.05 seconds for 0.2 seconds
+    Then the instance has been sent 2 copies of the configuration
+    When the leader has generation 3
+    And it sends a view every 0.05 seconds for 0.1 seconds
+    Then the instance has been sent 3 copies of the configuration
+    When the instance reports generation 3
+    And it sends a view every 0.05 seconds for 2 seconds
+    Then the instance has been sent 3 copies of the configuration
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -1,12 +1,18 @@
 """Steps for the state that the leader of a region keeps."""
 
 from dataclasses import replace
+from types import SimpleNamespace
 
+import anyio
 from behave import given, then, when
+from msgspec.structs import replace as replace_fields
 
+from cowsliprack.coordination.fleet_view import FleetView
+from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.model_scheduler import ModelScheduler
 from cowsliprack.coordination.region_state import RegionState, finish_order
 from cowsliprack.protocol.gateway_messages import (
+    ConfigurationCopy,
     EngineUse,
     MemberReport,
     WaitingGroup,
@@ -18,6 +24,7 @@
     LoadedModel,
     TargetRegistry,
 )
+from cowsliprack.transport.region_term import RegionTerm
 from tests.support.routed import target_record
 
 _NOW = 100.0
@@ -156,3 +163,74 @@
     context.state.count_running(_NOW)
     suspects = context.state.suspects(_NOW)
     assert bool(suspects) == (answer == 'yes'), suspects
+
+
+@given(
+    'a leader with generation {generation:d} and an instance that reports '
+    'generation {reported:d}'
+)
+def given_leader(context, generation, reported):
+    context.now = _NOW
+    context.generation = generation
+    context.reported = reported
+    context.sent = []
+    anyio.run(_build_term, context)
+
+
+async def _build_term(context):
+    """Create the term of a leader whose messages are recorded."""
+    surroundings = SimpleNamespace(
+        instance_id='i0',
+        address='127.0.0.1:1',
+        engines=None,
+        credit=SimpleNamespace(window=8),
+        fleet=FleetView(),
+        freshness=Freshness(5),
+        clock=lambda: context.now,
+        table=lambda: SimpleNamespace(generation=context.generation),
+        configuration_copy=lambda: b'{}',
+    )
+    lease = SimpleNamespace(
+        fencing=7,
+        observation=SimpleNamespace(version=1),
+        held_until=lambda: context.now + 3,
+    )
+    context.term = RegionTerm(
+        surroundings,
+        lease,
+        lambda _instance, _address, message: context.sent.append(message),
+    )
+
+
+@when('it sends a view every {pause:g} seconds for {seconds:g} seconds')
+def when_views_sent(context, pause, seconds):
+    report = replace_fields(
+        _report(1, ()), generation=context.reported, stamp=0
+    )
+    context.term.state.apply_report(report, context.now)
+    for _ in range(round(seconds / pause)):
+        context.term._send_views(to_all=True)
+        context.now += pause
+
+
+@when('the leader has generation {generation:d}')
+def when_generation(context, generation):
+    context.generation = generation
+
+
+@when('the instance reports generation {generation:d}')
+def when_reported(context, generation):
+    context.reported = generation
+    report = replace_fields(_report(2, ()), generation=generation)
+    context.term.state.apply_report(report, context.now)
+
+
+@then('the instance has been sent {count:d} copy of the configuration')
+@then('the instance has been sent {count:d} copies of the configuration')
+def then_copies(context, count):
+    copies = [
+        message
+        for message in context.sent
+        if isinstance(message, ConfigurationCopy)
+    ]
+    assert len(copies) == count, len(copies)
