--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -238,6 +238,21 @@
     And the scheduler plans for 1 second without demand
     Then 2 loads were ordered
 
+  Scenario: A load from the weight store that still waits for room counts
+    Given engine e1 holds a, b and has c on disk
+    And engine e2 holds d
+    And a is requested often
+    And e1 runs 1 request for a
+    And e1 runs 1 request for b
+    And e2 executes an order
+    And 3 requests at different instances wait for f
+    When the scheduler plans
+    Then f is assigned to e1
+    When e2 has executed its order
+    And 1 request waits for e
+    And the scheduler plans
+    Then the orders are ""
+
   Scenario: Loads on time raise the limit step by step
     Given 56 empty engines
     And of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 took twice the expected time
