--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -19,6 +19,9 @@
 # A load that serves this many requests in time may exceed the share of engines:
 # a busy model that lost its engines.
 URGENT_REQUESTS = 5
+# A missing model loses its turn when no request has waited for it this long;
+# callers whose request was refused come back sooner.
+_FORGET_SECONDS = 30.0
 # The rate of cold loads is limited over this window.
 _RATE_WINDOW_SECONDS = 5.0
 
@@ -46,9 +49,13 @@
     """Models without a copy on any engine that requests have waited for.
 
     :param since_by_model: when the first of these requests was seen, seconds.
+    :param asked_at_by_model: when the last of them was seen, seconds.
+    :param waiting: those that requests wait for now.
     """
 
     since_by_model: dict[str, float] = field(default_factory=dict)
+    asked_at_by_model: dict[str, float] = field(default_factory=dict)
+    waiting: frozenset[str] = frozenset()
 
     def update(
         self,
@@ -58,18 +65,23 @@
     ) -> None:
         """Add models that are missing and remove those that no longer are.
 
-        A model stays until there is a copy: its requests time out before a load
-        from the weight store can end, and the loading engine may fail.
+        A model stays between its requests: they time out before a load from the
+        weight store can end, and the loading engine may fail.
 
-        :param waiting_models: models with waiting requests.
+        :param waiting_models: configured models with waiting requests.
         :param has_copy: returns whether an engine has a copy of a model.
         :param now: seconds.
         """
-        for waiting in waiting_models:
-            self.since_by_model.setdefault(waiting, now)
-        for name in list(self.since_by_model):
-            if has_copy(name):
+        self.waiting = frozenset(
+            name for name in waiting_models if not has_copy(name)
+        )
+        for name in self.waiting:
+            self.since_by_model.setdefault(name, now)
+            self.asked_at_by_model[name] = now
+        for name, asked_at in list(self.asked_at_by_model.items()):
+            if has_copy(name) or now - asked_at > _FORGET_SECONDS:
                 self.since_by_model.pop(name)
+                self.asked_at_by_model.pop(name)
 
 
 def count_cold_loads(engines: Iterable[EngineState]) -> int:
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -236,7 +236,11 @@
             self._engine_ids = engine_ids
             self._engines_stable_since = now
         self.rates.update_idle(now)
-        self._missing.update(self._waiting_models, self._index.has_copy, now)
+        self._missing.update(
+            self._waiting_models.intersection(self.spec.models_by_name),
+            self._index.has_copy,
+            now,
+        )
 
     def _scale_up_threshold(self) -> float:
         share = self.spec.slots * _SCALE_UP_SHARE
@@ -490,7 +494,7 @@
         return model.size + adapters * model.adapter_size
 
     def _may_load_cold(self, candidate: _LoadCandidate, now: float) -> bool:
-        if not candidate.count and self._missing.since_by_model:
+        if not candidate.count and self._missing.waiting:
             # A load for an additional replica would serve no other model.
             return False
         most = self._max_cold_loads(candidate.benefit, now)
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -320,6 +320,29 @@
     And the scheduler plans
     Then the orders are "e1 load d"
 
+  Scenario Outline: A replica gets a weight store load again: <reason>
+    Given engine e1 holds a, b and has c on disk
+    And engine e2 holds c and has b on disk
+    And e1 runs 24 requests for a
+    And <fact>
+    When the scheduler plans
+    Then the orders are "e2 load a"
+
+    Examples:
+      | reason                            | fact                          |
+      | nobody waits for a missing model  | a request waited for f before |
+      | the missing model does not exist  | 1 request waits for unknown   |
+
+  Scenario: A missing model that nobody asks for any more loses its turn
+    Given engine e1 holds a
+    And a is requested often
+    And a request waited for f before
+    And 1 request waits for e
+    And no engine takes orders for 31 seconds
+    And 1 request waits for f
+    When the scheduler plans
+    Then the orders are "e1 load e"
+
   Scenario: A load from the weight store does not evict an only copy
     Given engine e1 holds a and has b, c on disk
     And engine e2 holds d and has a, e on disk
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -127,6 +127,28 @@
     _wait(context, model, adapter, count=count)
 
 
+@given('a request waited for {name:w} before')
+def given_waited(context, name):
+    _wait(context, name)
+    usable = context.scheduler.engines_by_id
+    context.scheduler.engines_by_id = {}
+    context.scheduler.plan(context.groups, context.now)
+    context.scheduler.engines_by_id = usable
+    context.groups = []
+    context.now += 1
+
+
+@given('no engine takes orders for {seconds:d} seconds')
+def given_no_orders(context, seconds):
+    usable = context.scheduler.engines_by_id
+    context.scheduler.engines_by_id = {}
+    for _ in range(seconds):
+        context.scheduler.plan(context.groups, context.now)
+        context.now += 1
+    context.scheduler.engines_by_id = usable
+    context.scheduler.rates.add('a', 4, context.now)
+
+
 @given('1 request waits for each of a to f')
 def given_all_wait(context):
     for name in _NAMES:
