--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -51,7 +51,7 @@
     copied_at: float = float('-inf')
 
     def needs_copy(self, generation: int, now: float) -> bool:
-        """Return whether to send it the configuration now, and record that.
+        """Return whether the configuration is due to be sent to it.
 
         :param generation: generation of the configuration in force.
         :param now: seconds.
@@ -59,11 +59,16 @@
         if self.report.generation >= generation:
             return False
         is_sent = self.copied_generation >= generation
-        if is_sent and now - self.copied_at < _COPY_INTERVAL_SECONDS:
-            return False
+        return not is_sent or now - self.copied_at >= _COPY_INTERVAL_SECONDS
+
+    def record_copy(self, generation: int, now: float) -> None:
+        """Record that the configuration is sent to it.
+
+        :param generation: generation of the configuration.
+        :param now: seconds.
+        """
         self.copied_generation = generation
         self.copied_at = now
-        return True
 
 
 @dataclass(slots=True)
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -226,6 +226,7 @@
 
     def _send_view(self, member: Member, left: float) -> None:
         context = self._context
+        now = context.clock()
         report = member.report
         proof_offset = None
         if member.stamp:
@@ -235,7 +236,7 @@
         )
         table = context.table()
         view = msgspec.structs.replace(
-            self.state.view_for(member, context.clock()),
+            self.state.view_for(member, now),
             generation=table.generation,
             proof_offset=proof_offset,
             registry_revision=context.fleet.registry.revision,
@@ -244,7 +245,8 @@
             lease_version=self._lease.observation.version,
             lease_left=left,
         )
-        if member.needs_copy(table.generation, context.clock()):
+        if member.needs_copy(table.generation, now):
+            member.record_copy(table.generation, now)
             copy = ConfigurationCopy(context.configuration_copy())
             self._deliver(report.instance_id, report.address, copy)
         self._deliver(report.instance_id, report.address, view)
