Log crashes of targets and the prompt parts of broken requests

A connection that ends during a run is now followed by one new connection to the target, shared by all requests that broke with it; a refusal is logged as target_crashed. The line of a failed send names the prompt parts and the time to the first byte.

--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -23,6 +23,7 @@
 from cowsliprack.state.gateway_settings import GatewaySettings
 from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.transport.clock import read_clock
+from cowsliprack.transport.crash_watch import CrashWatch, log_crash
 from cowsliprack.transport.exchange import (
     Exchange,
     Receive,
@@ -131,6 +132,7 @@
                 demand_changed=self.region.demand_changed,
                 clock=read_clock,
             ),
+            crash_watch=CrashWatch(self.fleet.registry, log_crash),
             apply_retry_limit=lambda budget: apply_retry_limit(
                 budget,
                 retry_limit,
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -18,6 +18,7 @@
 from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.state.target_registry import TargetRecord
 from cowsliprack.transport.bounded_body import MAX_ANSWER_BYTES, read_body
+from cowsliprack.transport.crash_watch import CrashWatch
 from cowsliprack.transport.routed_request import RoutedRequest
 from cowsliprack.transport.target_client import SendTrace
 from cowsliprack.transport.target_finder import TargetFinder, shutting_down
@@ -49,6 +50,7 @@
     """Forwards the requests of one instance and retries failed sends.
 
     :param finder: chooses the target of each send.
+    :param crash_watch: checks targets whose connections end during a run.
     :param apply_retry_limit: sets the limit of a retry budget, which depends
         on the number of instances.
     :param table: returns the active routing table.
@@ -63,6 +65,7 @@
     fleet: FleetView
     target_selector: TargetSelector
     finder: TargetFinder
+    crash_watch: CrashWatch
     apply_retry_limit: Callable[[RetryBudget], None]
     table: Callable[[], RoutingTable]
     demand_changed: Callable[[], None]
@@ -156,6 +159,8 @@
             failure=str(failure),
             ran=failure.ran.value,
             sends=request.sends,
+            prompt_parts=[part for part, _ in request.metadata.prompt_parts],
+            first_ms=request.first_byte_ms(),
         )
         if not retry:
             raise self._final_error(request, failure)
@@ -265,6 +270,8 @@
             ) as response:
                 await self._handle_response(request, target, response, sent_at)
         except (httpx.HTTPError, TimeoutError) as failure:
+            if trace.sent and not isinstance(failure, TimeoutError):
+                await self.crash_watch.check(target)
             raise TargetError(
                 f'{type(failure).__name__}: {failure}',
                 trace.ran(),
--- a/cowsliprack/transport/route_server.py
+++ b/cowsliprack/transport/route_server.py
@@ -280,10 +280,8 @@
     ) -> None:
         now = self.clock()
         self.metrics.requests.inc({'kind': outcome})
-        first_ms = None
         if request is not None and request.first_byte_at:
             seconds_to_first_byte = request.first_byte_at - arrived_at
-            first_ms = round(seconds_to_first_byte * 1000)
             self.metrics.first_byte.observe({}, seconds_to_first_byte)
         _log.info(
             'request',
@@ -301,7 +299,7 @@
             targets=request.tried if request else [],
             sends=request.sends if request else 0,
             may_have_run=request.is_in_doubt() if request else False,
-            first_ms=first_ms,
+            first_ms=request.first_byte_ms() if request else None,
             total_ms=round((now - arrived_at) * 1000),
             configuration=self.table().generation,
             proof_age_ms=round(min(self.freshness.age(now), 1e4) * 1000),
--- a/cowsliprack/transport/routed_request.py
+++ b/cowsliprack/transport/routed_request.py
@@ -62,6 +62,12 @@
         """Return the time of the request's latency target, seconds."""
         return self.arrived_at + self.route.latency_target
 
+    def first_byte_ms(self) -> int | None:
+        """Return the time from arrival to the first byte, milliseconds."""
+        if not self.first_byte_at:
+            return None
+        return round((self.first_byte_at - self.arrived_at) * 1000)
+
     def is_in_doubt(self) -> bool:
         """Return whether a target may have run or may still run it."""
         is_send_open = self.trace is not None and self.trace.sent
--- a/tests/steps/bounded_body_steps.py
+++ b/tests/steps/bounded_body_steps.py
@@ -15,7 +15,9 @@
 from cowsliprack.protocol.engine import OrderPreconditions
 from cowsliprack.protocol.target import Order, OrderKind
 from cowsliprack.state.engine_state import EngineOrder
+from cowsliprack.state.target_registry import TargetRegistry
 from cowsliprack.transport.checked_transport import CheckedTransport
+from cowsliprack.transport.crash_watch import CrashWatch, log_crash
 from cowsliprack.transport.exchange import exchange_from_scope
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.target_client import TargetClient
@@ -162,6 +164,7 @@
             fleet=FleetView(),
             target_selector=context.selector,
             finder=_Finder(record),
+            crash_watch=CrashWatch(TargetRegistry(), log_crash),
             apply_retry_limit=lambda _budget: None,
             table=lambda: TABLE,
             demand_changed=lambda: None,
