Reproduce engines that crash on a prompt part, as a failing test

Two gateway processes, two engines that crash when they run a request with one part; no two requests are alike.

--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -204,3 +204,9 @@
   Scenario: A reload signal does not end the process
     When g1 gets SIGHUP
     Then g1 still serves an order
+
+  Scenario: A prompt part that crashes engines is refused everywhere
+    Given engines that crash on the prompt part "0bad"
+    When callers send 12 requests with the prompt parts "ab 0bad" to g1 and g2
+    Then no engine crashed later than 1 second after the second crash
+    And requests with the prompt parts "ab cd" are served by g1 and g2
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -16,6 +16,7 @@
 )
 from tests.support.gateway_cluster import (
     KEY,
+    RESTART_SECONDS,
     GatewayCluster,
     read_response,
     request,
@@ -739,3 +740,53 @@
 def then_serves_after_reload(context):
     when_sends(context, 'an order', 'g1')
     then_status(context, 200)
+
+
+@given('engines that crash on the prompt part "{part}"')
+def given_crashing_part(context, part):
+    for name in ('e1', 'e2'):
+        context.cluster.engines[name].faults.crashing_parts.add(part)
+
+
+def _send_with_parts(context, gateway, parts):
+    """Send a stream request whose body and last prompt part are its own."""
+    request_id, headers = _headers(model='m0')
+    own_part = f'{next(_ids):x}f'
+    headers['X-Prompt-Prefix'] = ','.join(
+        f'{part}:10' for part in (*parts.split(), own_part)
+    )
+    return _request(
+        context, gateway, 'POST', '/chat/x', headers, request_id.encode()
+    )
+
+
+@when(
+    'callers send {count:d} requests with the prompt parts "{parts}" '
+    'to g1 and g2'
+)
+def when_parts_sent(context, count, parts):
+    context.responses = []
+    for number in range(count):
+        context.responses.append(
+            _send_with_parts(context, f'g{number % 2 + 1}', parts)
+        )
+        # Until the engines run again; each request then meets one.
+        time.sleep(2 * RESTART_SECONDS)
+
+
+@then('no engine crashed later than {seconds:g} second after the second crash')
+def then_no_late_crash(context, seconds):
+    crashes = sorted(
+        crashed_at
+        for name in ('e1', 'e2')
+        for crashed_at in context.cluster.engines[name].crashed_at
+    )
+    offsets = [round(crash - crashes[1], 2) for crash in crashes]
+    assert max(offsets) <= seconds, offsets
+
+
+@then('requests with the prompt parts "{parts}" are served by g1 and g2')
+def then_parts_served(context, parts):
+    for gateway in ('g1', 'g2'):
+        response = _send_with_parts(context, gateway, parts)
+        _check_events(response, 5)
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -23,6 +23,8 @@
 KEY = 'a-key-of-the-desk'
 MODELS = ('m0', 'm1', 'm2', 'm3')
 _READY_TIMEOUT_SECONDS = 15.0
+# Time for which a crashed target has no process.
+RESTART_SECONDS = 0.4
 _used_ports = set()
 
 
@@ -157,9 +159,7 @@
                     max_models=places,
                 )
                 self.engines[name] = engine
-                tasks.start_soon(
-                    serve_on, listener, engine.handle, self._stopped.wait
-                )
+                tasks.start_soon(self._serve_target, engine, listener)
             self.engines['e1'].models = {'m0': set(), 'm1': set()}
             self.engines['e2'].models = {'m0': set()}
             for name in ('e1', 'e2'):
@@ -172,6 +172,31 @@
             await anyio.sleep(0.2)
             tasks.cancel_scope.cancel()
 
+    async def _serve_target(self, engine, listener):
+        """Serve a target; a crashed one starts again after a while."""
+        port = listener.getsockname()[1]
+        while not self._stopped.is_set():
+            await serve_on(listener, engine.handle, self._ended(engine))
+            # The server has closed the descriptor.
+            listener.detach()
+            if engine.crashed.is_set():
+                await anyio.sleep(RESTART_SECONDS)
+                listener = bind(port=port)
+                engine.restart()
+
+    def _ended(self, engine):
+        async def wait():
+            async with anyio.create_task_group() as tasks:
+
+                async def wait_for(event):
+                    await event.wait()
+                    tasks.cancel_scope.cancel()
+
+                tasks.start_soon(wait_for, engine.crashed)
+                tasks.start_soon(wait_for, self._stopped)
+
+        return wait
+
     def call(self, function, *arguments):
         """Run a function in the thread of the stand-ins."""
         done = threading.Event()
--- a/tools/standins/route_engine.py
+++ b/tools/standins/route_engine.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
@@ -45,6 +46,8 @@
     :param failed_responses: number of responses with status 500; only plain
         services send them.
     :param unanswered_requests: number of requests to run without responding.
+    :param crashing_parts: prompt parts on which the engine crashes as soon as
+        it runs a request with one of them.
     """
 
     lost_order_responses: int = 0
@@ -54,6 +57,7 @@
     wrong_request_ids: int = 0
     failed_responses: int = 0
     unanswered_requests: int = 0
+    crashing_parts: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -72,6 +76,8 @@
     :param executed_ids: IDs of the requests that were run, with repetitions.
     :param max_models_held: highest number of models loaded or being loaded.
     :param running_by_model: number of running requests.
+    :param crashed: set while the engine has no process.
+    :param crashed_at: time of each crash, seconds of the monotonic clock.
     """
 
     target_id: str
@@ -97,6 +103,8 @@
     orders: list[dict[str, Any]] = field(default_factory=list)
     max_models_held: int = 0
     running_by_model: Counter[str] = field(default_factory=Counter)
+    crashed: anyio.Event = field(default_factory=anyio.Event)
+    crashed_at: list[float] = field(default_factory=list)
 
     def register(self) -> None:
         """Write the engine's record to the store."""
@@ -123,8 +131,14 @@
         self.accepted_orders = 0
         self.highest_fence = 0
         self.busy = False
+        self.crashed = anyio.Event()
         self.register()
 
+    def crash(self) -> None:
+        """End the process; its connections are closed by the server."""
+        self.crashed_at.append(time.monotonic())
+        self.crashed.set()
+
     async def handle(self, request: Request) -> None:
         """Handle one HTTP request.
 
@@ -261,6 +275,9 @@
         """Respond; cancel the request if the caller disconnects."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, request, tasks.cancel_scope)
+            if self.faults.crashing_parts & _prompt_parts(request):
+                self.crash()
+                await request.wait_for_disconnect()
             await self._respond(request, request_id)
             tasks.cancel_scope.cancel()
 
@@ -318,6 +335,11 @@
                 return
 
 
+def _prompt_parts(request: Request) -> set[str]:
+    header = request.header('x-prompt-prefix') or ''
+    return {part.partition(':')[0] for part in header.split(',')}
+
+
 async def _cancel_on_disconnect(
     request: Request,
     scope: anyio.CancelScope,
