Refuse prompt parts and requests that crash engines, on all instances

Cause: the gateway counted no crashes, and serve counts them by whole requests, of which no two are alike here. Every new request and every retry with the part went to the next engine. Class of fault: a failure is handled for each request by itself, so that its common cause is never seen.

Ruled out: that only retries spread it; both requests that the record shows whole crashed an engine under their first send. How many came from retries the log does not tell.

Change: a crash counts against the requests on the engine and the shared parts of their prompts, complete answers clear them, instances exchange both through their leader, and a request is refused after two crashes of it or of its last shared part, four of an earlier part; see docs/decisions/poison_parts.md.

In this commit the stand-ins end the connections of a crashed engine without an answer; before, their server sent a 500.

--- a/cowsliprack/exceptions.py
+++ b/cowsliprack/exceptions.py
@@ -33,6 +33,7 @@
     store_unavailable = 'store_unavailable'
     configuration_stale = 'configuration_stale'
     poison_request = 'poison_request'
+    quarantined = 'quarantined'
     duplicate_in_progress = 'duplicate_in_progress'
     idempotency_mismatch = 'idempotency_mismatch'
     target_refused = 'target_refused'
@@ -89,6 +90,7 @@
         ErrorKind.store_unavailable: ErrorResponse(503, _NOT_RUN, 10),
         ErrorKind.configuration_stale: ErrorResponse(503, _NOT_RUN, 10),
         ErrorKind.poison_request: ErrorResponse(422, _NOT_RUN),
+        ErrorKind.quarantined: ErrorResponse(503, _NOT_RUN, 600),
         ErrorKind.duplicate_in_progress: ErrorResponse(409, _MAY_HAVE_RUN, 2),
         ErrorKind.idempotency_mismatch: ErrorResponse(422, _NOT_RUN),
         ErrorKind.target_refused: ErrorResponse(503, _NOT_RUN, 1),
--- a/cowsliprack/protocol/peer.py
+++ b/cowsliprack/protocol/peer.py
@@ -255,7 +255,7 @@
 
     :param digest: digest of the request.
     :param crash_id: identifies the crash, so that it is counted once.
-    :param lifetime: seconds until the strike expires.
+    :param lifetime: seconds until the crash no longer counts.
     """
 
     digest: str
@@ -264,6 +264,50 @@
     lifetime: float
 
 
+class SoundNotice(PeerMessage, frozen=True):
+    """Notice that a target has answered a request to its end.
+
+    :param digest: digest of the request or of a part of its prompt, against
+        which crashes had been counted.
+    """
+
+    digest: str
+
+
+class TrialNotice(PeerMessage, frozen=True):
+    """Notice that one request is sent although it would be refused.
+
+    :param digest: digest of the request or of a part of its prompt.
+    """
+
+    digest: str
+
+
+AnyPoisonNotice = PoisonNotice | SoundNotice | TrialNotice
+
+
+class PoisonNotices(PeerMessage, frozen=True):
+    """Notices that a member and the leader of a region exchange.
+
+    Each side numbers its notices from 0 in each term.
+
+    :param instance_id: id of the sender.
+    :param boot: process of the member, so that a restart begins anew.
+    :param fencing: fencing number of the leader's lease.
+    :param first: number of the first notice.
+    :param oldest: number of the oldest notice that the sender still has.
+    :param received: number of notices that the sender has received.
+    """
+
+    instance_id: str
+    boot: str
+    fencing: int
+    first: int = 0
+    oldest: int = 0
+    received: int = 0
+    notices: tuple[AnyPoisonNotice, ...] = ()
+
+
 class TargetLeaving(PeerMessage, frozen=True):
     """Notice that a target must not receive new requests."""
 
@@ -284,6 +328,7 @@
     | ConfigurationPull
     | ConfigurationShards
     | PoisonNotice
+    | PoisonNotices
     | TargetLeaving
     | GatewayMessage
 )
--- a/cowsliprack/transport/crash_watch.py
+++ b/cowsliprack/transport/crash_watch.py
@@ -10,7 +10,6 @@
 import anyio
 
 from cowsliprack.coordination.poison import crash_id
-from cowsliprack.logs import log_decision
 from cowsliprack.state.target_registry import (
     TargetRecord,
     TargetRegistry,
@@ -78,20 +77,3 @@
         if len(self._crashes) > _MAX_CRASHES:
             self._crashes.pop(next(iter(self._crashes)))
         self.crashed(target, crash)
-
-
-def log_crash(target: TargetRecord, crash: str, **details: object) -> None:
-    """Log that a target has crashed.
-
-    :param target: the target.
-    :param crash: see ``crash_id``.
-    :param details: further fields of the line.
-    """
-    log_decision(
-        'target_crashed',
-        target.target_id,
-        'a connection ended during a run and new ones are refused',
-        crash=crash,
-        service=target.service,
-        **details,
-    )
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -23,7 +23,6 @@
 from cowsliprack.state.gateway_settings import GatewaySettings
 from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.transport.clock import read_clock
-from cowsliprack.transport.crash_watch import CrashWatch, log_crash
 from cowsliprack.transport.exchange import (
     Exchange,
     Receive,
@@ -32,6 +31,7 @@
 )
 from cowsliprack.transport.http_listener import serve_addresses
 from cowsliprack.transport.peer_sockets import PeerSockets
+from cowsliprack.transport.poison_watch import PoisonWatch
 from cowsliprack.transport.region import Region
 from cowsliprack.transport.region_term import RegionContext
 from cowsliprack.transport.route_relay import RouteRelay
@@ -88,6 +88,7 @@
             settings.quota_slack,
             settings.quota_window_seconds,
         )
+        poison = PoisonWatch(self.fleet.registry, read_clock)
         self.region = Region(
             RegionContext(
                 instance_id=settings.instance_id,
@@ -106,6 +107,7 @@
                 waiting_requests=self.waiting_requests,
                 credit=credit,
                 freshness=self.freshness,
+                poison=poison,
                 table=self.current_table,
                 configuration_copy=self._copy_configuration,
                 apply_configuration_copy=self._apply_configuration_copy,
@@ -131,8 +133,9 @@
                 table=self.current_table,
                 demand_changed=self.region.demand_changed,
                 clock=read_clock,
+                poison=poison.tracker,
             ),
-            crash_watch=CrashWatch(self.fleet.registry, log_crash),
+            poison=poison,
             apply_retry_limit=lambda budget: apply_retry_limit(
                 budget,
                 retry_limit,
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -9,6 +9,7 @@
 from cowsliprack.coordination.freshness import RelayedReading
 from cowsliprack.coordination.lease import Lease
 from cowsliprack.coordination.lease_record import LeaseAction
+from cowsliprack.coordination.notice_exchange import MemberNotices
 from cowsliprack.exceptions import CowsliprackError
 from cowsliprack.protocol.gateway_messages import (
     ConfigurationCopy,
@@ -17,9 +18,14 @@
     LeaderView,
     MemberReport,
 )
-from cowsliprack.protocol.peer import AnyPeerMessage
+from cowsliprack.protocol.peer import (
+    AnyPeerMessage,
+    AnyPoisonNotice,
+    PoisonNotices,
+)
 from cowsliprack.state.routing_table import OrganisationLimits
 from cowsliprack.transport.lease_calls import execute_lease_action
+from cowsliprack.transport.region_notices import RegionNotices
 from cowsliprack.transport.region_term import RegionContext, RegionTerm
 
 # A leader plans for all engines, so an instance with fewer cores leaves a free
@@ -70,6 +76,7 @@
     _relayed: RelayedReading = field(init=False)
     _address_by_peer: dict[str, str] = field(default_factory=dict)
     _reconnected_at: float = 0
+    _notices: RegionNotices = field(init=False)
     _credit_request_count: int = 0
     _pending_credit_by_number: dict[int, _PendingCreditRequest] = field(
         default_factory=dict
@@ -80,6 +87,13 @@
         context = self.context
         self._started_at = context.clock()
         self._relayed = RelayedReading(context.max_relay_age_seconds)
+        self._notices = RegionNotices(
+            MemberNotices(context.instance_id, context.boot),
+            context.poison,
+            self._send_to_leader,
+            context.clock,
+        )
+        context.poison.announce = self._announce
         self.lease = Lease(
             context.region,
             context.instance_id,
@@ -248,6 +262,10 @@
                     self.term.handle_message(message)
             case LeaderView():
                 self._apply_view(message)
+            case PoisonNotices() if self.term is None:
+                self._notices.apply(message)
+            case PoisonNotices():
+                self.term.apply_notices(message)
             case CreditAnswer():
                 self._apply_credit_answer(message)
             case ConfigurationCopy():
@@ -265,6 +283,8 @@
         now = self.context.clock()
         if view.lease_left <= 0 and view.instance_id != self._leader_id:
             return
+        if is_new and view.instance_id != self.context.instance_id:
+            self._notices.follow(view.fencing)
         self._view_fencing = view.fencing
         self._view_sequence = view.sequence
         self._leader_id = view.instance_id
@@ -292,6 +312,17 @@
             )
             self.context.waiting_requests.notify_all()
 
+    def _announce(self, notice: AnyPoisonNotice) -> None:
+        """Send a notice to all other instances through the leader."""
+        if self.term is None:
+            self._notices.add(notice)
+        else:
+            self.term.relay_notice(notice)
+
+    def _send_to_leader(self, message: AnyPeerMessage) -> None:
+        if self._leader_id:
+            self._deliver(self._leader_id, self._leader_address, message)
+
     def _apply_store_readings(self, view: LeaderView) -> None:
         """Apply targets and freshness that the leader read from the store."""
         context = self.context
@@ -348,7 +379,9 @@
         if is_silent and now - self._reconnected_at > _RECONNECT_AFTER_SECONDS:
             self._address_by_peer.pop(self._leader_id, None)
             self._reconnected_at = now
-        self._deliver(self._leader_id, self._leader_address, report)
+        self._send_to_leader(report)
+        if self.term is None:
+            self._notices.send_due()
 
     async def _ask_credit(
         self,
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -12,6 +12,7 @@
 from cowsliprack.coordination.fleet_view import FleetView
 from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.lease import Lease
+from cowsliprack.coordination.notice_exchange import LeaderNotices
 from cowsliprack.coordination.region_state import Member, RegionState
 from cowsliprack.coordination.relayed_targets import target_view
 from cowsliprack.coordination.target_selector import TargetSelector
@@ -26,11 +27,16 @@
     LeaderView,
     MemberReport,
 )
-from cowsliprack.protocol.peer import AnyPeerMessage
+from cowsliprack.protocol.peer import (
+    AnyPeerMessage,
+    AnyPoisonNotice,
+    PoisonNotices,
+)
 from cowsliprack.protocol.store import ObjectStore
 from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.transport.order_executor import OrderExecutor
 from cowsliprack.transport.peer_sockets import PeerSockets
+from cowsliprack.transport.poison_watch import PoisonWatch
 
 # Changes within this time are planned and sent to the members as one batch. The
 # time grows with the number of members, because planning and sending take some
@@ -58,6 +64,7 @@
     :param cores: number of CPU cores that the instance may use.
     :param max_relay_age_seconds: age up to long state relayed relayed by the
         leader replaces a of the store.
+    :param poison: counts crashes against requests and prompt parts.
     :param table: returns the active routing table.
     :param configuration_copy: returns the active configuration as stored.
     :param apply_configuration_copy: applies such a copy from the leader.
@@ -81,6 +88,7 @@
     waiting_requests: WaitingRequests
     credit: TokenCredit
     freshness: Freshness
+    poison: PoisonWatch
     table: Callable[[], RoutingTable]
     configuration_copy: Callable[[], bytes]
     apply_configuration_copy: Callable[[bytes], None]
@@ -117,6 +125,7 @@
             context.instance_id,
             context.address,
         )
+        self._notices = LeaderNotices(context.instance_id, lease.fencing)
         self._executor = OrderExecutor(
             self.state,
             context.engines,
@@ -139,6 +148,7 @@
         """Lead until the lease is lost or released."""
         _log.info('term_begins', fencing=self.state.fencing)
         async with self._tasks:
+            self._relay_known_notices()
             self.apply_configuration()
             while self.holds_lease():
                 with anyio.move_on_after(_PLAN_INTERVAL_SECONDS):
@@ -172,6 +182,29 @@
         elif self.state.apply_report(message, self._context.clock()):
             self._request_plan()
 
+    def relay_notice(self, notice: AnyPoisonNotice) -> None:
+        """Send a notice to all members.
+
+        :param notice: that is new to this instance.
+        """
+        self._notices.add(notice)
+        self._request_plan()
+
+    def apply_notices(self, message: PoisonNotices) -> None:
+        """Apply the notices of a member and relay the new ones.
+
+        :param message: from the member.
+        """
+        for notice in self._notices.accept(message):
+            if self._context.poison.apply(notice):
+                self.relay_notice(notice)
+        self._request_plan()
+
+    def _relay_known_notices(self) -> None:
+        context = self._context
+        for notice in context.poison.tracker.notices(context.clock()):
+            self.relay_notice(notice)
+
     def _batch_seconds(self) -> float:
         each = len(self.state.members_by_id) * _BATCH_SECONDS_PER_MEMBER
         return max(_MIN_BATCH_SECONDS, each)
@@ -223,6 +256,15 @@
         for member in self.state.members_by_id.values():
             if to_all or member.stamp:
                 self._send_view(member, 0 if self._ended else max(left, 0))
+            self._send_notices(member, now)
+
+    def _send_notices(self, member: Member, now: float) -> None:
+        report = member.report
+        if report.instance_id == self._context.instance_id:
+            return
+        notices = self._notices.outgoing(report.instance_id, report.boot, now)
+        if notices is not None:
+            self._deliver(report.instance_id, report.address, notices)
 
     def _send_view(self, member: Member, left: float) -> None:
         context = self._context
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -18,7 +18,7 @@
 from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.state.target_registry import TargetRecord
 from cowsliprack.transport.bounded_body import MAX_ANSWER_BYTES, read_body
-from cowsliprack.transport.crash_watch import CrashWatch
+from cowsliprack.transport.poison_watch import PoisonWatch
 from cowsliprack.transport.routed_request import RoutedRequest
 from cowsliprack.transport.target_client import SendTrace
 from cowsliprack.transport.target_finder import TargetFinder, shutting_down
@@ -50,7 +50,7 @@
     """Forwards the requests of one instance and retries failed sends.
 
     :param finder: chooses the target of each send.
-    :param crash_watch: checks targets whose connections end during a run.
+    :param poison: counts crashes against requests and prompt parts.
     :param apply_retry_limit: sets the limit of a retry budget, which depends
         on the number of instances.
     :param table: returns the active routing table.
@@ -65,7 +65,7 @@
     fleet: FleetView
     target_selector: TargetSelector
     finder: TargetFinder
-    crash_watch: CrashWatch
+    poison: PoisonWatch
     apply_retry_limit: Callable[[RetryBudget], None]
     table: Callable[[], RoutingTable]
     demand_changed: Callable[[], None]
@@ -173,12 +173,9 @@
         failure: TargetError,
         now: float,
     ) -> tuple[bool, str]:
-        if request.sends >= _MAX_SENDS:
-            return False, 'send limit reached'
-        if request.deadline - now < _MIN_RUN_SECONDS:
-            return False, 'deadline reached'
-        if failure.ran is Ran.may_have_run and not request.is_repeatable():
-            return False, 'may have run'
+        obstacle = self._retry_obstacle(request, failure, now)
+        if obstacle:
+            return False, obstacle
         if failure.unreachable:
             return True, 'target was not reached'
         if request.runs >= request.route.max_attempts:
@@ -188,6 +185,23 @@
             return False, 'retry budget is spent'
         return True, 'retry'
 
+    def _retry_obstacle(
+        self,
+        request: RoutedRequest,
+        failure: TargetError,
+        now: float,
+    ) -> str:
+        """Return why no target may get the request again; empty if one may."""
+        if request.sends >= _MAX_SENDS:
+            return 'send limit reached'
+        if request.deadline - now < _MIN_RUN_SECONDS:
+            return 'deadline reached'
+        if failure.ran is Ran.may_have_run and not request.is_repeatable():
+            return 'may have run'
+        if self.poison.tracker.seconds_refused(request.digests, now):
+            return 'targets crashed on it'
+        return ''
+
     def _budget(self, request: RoutedRequest) -> RetryBudget:
         """Return the retry budget of the request's service."""
         budget = self.budgets_by_service.get(request.service)
@@ -243,16 +257,24 @@
         # The leader must know at once whether an engine can unload a model.
         if self.target_selector.own_running(target.target_id, model) == 1:
             self.demand_changed()
+        request.in_flight_id = self.poison.on_send(
+            request.digests, target.target_id
+        )
         try:
             await self._exchange(request, target, now)
         finally:
-            self.target_selector.end(
-                target.target_id, model, request.metadata.adapter
-            )
-            if model and not self.target_selector.own_running(
-                target.target_id, model
-            ):
-                self.demand_changed()
+            self.poison.tracker.remove_in_flight(request.in_flight_id)
+            self._record_end(request, target)
+
+    def _record_end(self, request: RoutedRequest, target: TargetRecord) -> None:
+        model = request.metadata.model
+        self.target_selector.end(
+            target.target_id, model, request.metadata.adapter
+        )
+        if model and not self.target_selector.own_running(
+            target.target_id, model
+        ):
+            self.demand_changed()
 
     async def _exchange(
         self,
@@ -271,7 +293,7 @@
                 await self._handle_response(request, target, response, sent_at)
         except (httpx.HTTPError, TimeoutError) as failure:
             if trace.sent and not isinstance(failure, TimeoutError):
-                await self.crash_watch.check(target)
+                await self.poison.check_target(target)
             raise TargetError(
                 f'{type(failure).__name__}: {failure}',
                 trace.ran(),
@@ -376,6 +398,7 @@
         request.may_have_run = True
         if request.route.streams and status == _STATUS_OK:
             await self._forward_stream(request, target, response, sent_at)
+            self.poison.on_answered(request.digests)
             return
         body = await read_body(response, MAX_ANSWER_BYTES)
         if status >= _MIN_SERVER_ERROR_STATUS and self._may_retry_elsewhere(
@@ -384,6 +407,8 @@
             raise _ServerFailureError(f'status {status}', Ran.may_have_run)
         self._record_first_byte(request, target, sent_at)
         await self._forward_whole(request, response, body)
+        if status < _MIN_SERVER_ERROR_STATUS:
+            self.poison.on_answered(request.digests)
 
     def _may_retry_elsewhere(
         self, request: RoutedRequest, target: TargetRecord
@@ -432,7 +457,9 @@
             if not complete_events:
                 continue
             # Bytes that complete no event are no sign of progress.
-            self.target_selector.record_bytes(target.target_id, self.clock())
+            now = self.clock()
+            self.target_selector.record_bytes(target.target_id, now)
+            self.poison.tracker.record_answer(request.in_flight_id, now)
             if not request.first_byte_at:
                 self._record_first_byte(request, target, sent_at)
             if not exchange.started:
--- a/cowsliprack/transport/route_server.py
+++ b/cowsliprack/transport/route_server.py
@@ -10,6 +10,7 @@
 import structlog
 
 from cowsliprack.coordination.freshness import Freshness
+from cowsliprack.coordination.poison import part_digest, routed_digest
 from cowsliprack.coordination.token_credit import TokenCredit
 from cowsliprack.exceptions import ErrorKind, ServingError
 from cowsliprack.logs import log_decision
@@ -149,6 +150,11 @@
             first_event_deadline=arrived_at
             + _first_event_seconds(route, seconds_allowed),
             body=body,
+            digest=_request_digest(exchange, host, organisation, body),
+            part_digests=tuple(
+                part_digest(part_id)
+                for part_id, _ in metadata.prompt_parts[:-1]
+            ),
         )
 
     def _find_route(
@@ -313,6 +319,20 @@
     scope.cancel()
 
 
+def _request_digest(
+    exchange: Exchange,
+    host: str,
+    organisation: OrganisationLimits | None,
+    body: bytes,
+) -> str:
+    query = exchange.query.decode('latin-1')
+    return routed_digest(
+        organisation.name if organisation else '',
+        f'{exchange.method} {host}{exchange.raw_path}?{query}',
+        body,
+    )
+
+
 def _host(exchange: Exchange) -> str:
     for name, text in exchange.headers:
         if name == _HOST_HEADER:
--- a/cowsliprack/transport/routed_request.py
+++ b/cowsliprack/transport/routed_request.py
@@ -31,7 +31,12 @@
     :param runs: number of sends after which it may have run.
     :param may_have_run: whether it was sent and no target reported that it
         did not run it.
+    :param in_flight_id: id of the current send among those that a crash of its
+        target would end.
     :param trace: trace of a send whose result is still unknown.
+    :param digest: identifies the request and its repetitions.
+    :param part_digests: identify the parts of its prompt that other requests
+        may share.
     :param splitter: splits the response's event stream into events.
     """
 
@@ -47,11 +52,14 @@
     deadline: float
     first_event_deadline: float
     body: bytes = b''
+    digest: str = ''
+    part_digests: tuple[str, ...] = ()
     tried: list[str] = field(default_factory=list)
     ran_on: set[str] = field(default_factory=set)
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
+    in_flight_id: int = 0
     trace: SendTrace | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     first_byte_at: float = 0
@@ -62,6 +70,11 @@
         """Return the time of the request's latency target, seconds."""
         return self.arrived_at + self.route.latency_target
 
+    @property
+    def digests(self) -> tuple[str, ...]:
+        """Return the digests by which crashes of targets are counted."""
+        return (self.digest, *self.part_digests)
+
     def first_byte_ms(self) -> int | None:
         """Return the time from arrival to the first byte, milliseconds."""
         if not self.first_byte_at:
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -8,6 +8,7 @@
 
 from cowsliprack.coordination.fleet_view import FleetView
 from cowsliprack.coordination.freshness import Freshness
+from cowsliprack.coordination.poison import PoisonTracker
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.coordination.waiting_requests import Waiter, WaitingRequests
 from cowsliprack.exceptions import ErrorKind, ServingError
@@ -31,6 +32,7 @@
     :param table: returns the active routing table.
     :param demand_changed: called when a request begins to wait.
     :param clock: seconds; must keep running during suspension.
+    :param poison: crashes by request and prompt part.
     """
 
     fleet: FleetView
@@ -40,6 +42,7 @@
     table: Callable[[], RoutingTable]
     demand_changed: Callable[[], None]
     clock: Callable[[], float]
+    poison: PoisonTracker = field(default_factory=PoisonTracker)
     rng: random.Random = field(default_factory=random.Random)
 
     async def find(self, request: RoutedRequest) -> TargetRecord:
@@ -118,6 +121,7 @@
         allowed = [
             record for record in found if request.may_send_to(record.target_id)
         ]
+        allowed = self._apart_from_suspects(request, allowed, now)
         untried = [
             record
             for record in allowed
@@ -126,6 +130,24 @@
         prompt = metadata.prompt_parts[-1][0] if metadata.prompt_parts else ''
         return self.target_selector.choose(untried or allowed, now, prompt)
 
+    def _apart_from_suspects(
+        self,
+        request: RoutedRequest,
+        targets: list[TargetRecord],
+        now: float,
+    ) -> list[TargetRecord]:
+        """Return the targets without a suspect, if the request is one itself.
+
+        Suspects on the same target would all be counted at its next crash.
+        """
+        if not self.poison.is_any_suspect(request.digests, now):
+            return targets
+        avoided = self.poison.suspect_targets(now)
+        apart = [
+            record for record in targets if record.target_id not in avoided
+        ]
+        return apart or targets
+
     def _is_isolated(self, now: float) -> bool:
         since_leader = now - self.fleet.updated_at
         since_store = self.freshness.age(now)
@@ -145,6 +167,13 @@
         services = {name for name, _ in route.services}
         if request.service not in services and not request.sends:
             request.service = pick_service(route.services, self.rng)
+        seconds_refused = self.poison.seconds_refused(request.digests, now)
+        if seconds_refused:
+            raise ServingError(
+                ErrorKind.quarantined,
+                'targets crashed on the request or on a part of its prompt',
+                retry_after=seconds_refused,
+            )
 
     def _recheck_key(
         self,
--- a/tests/coordination/poison.feature
+++ b/tests/coordination/poison.feature
@@ -42,3 +42,69 @@
     Given a poison tracker
     When notices about 10050 different requests arrive
     Then it stores 10000 crashes
+
+  # Further events: send REQUEST TARGET PARTS, answer REQUEST (its answer has
+  # begun), served REQUEST PARTS (it has ended), sound PART (elsewhere).
+  Scenario Outline: Prompt parts: <case>
+    Given a poison tracker
+    When the tracker receives the events "<events>"
+    Then a new request with the shared parts <parts> is <verdict>
+
+    Examples:
+      | case                                         | events                                                                             | parts | verdict  |
+      | no two requests with the part are alike      | send x e1 q+p; crash e1 b1; send y e2 q+p; crash e2 b1                             | r+p   | refused  |
+      | a sound request with the same earlier part   | send x e1 q+p; crash e1 b1; send y e2 q+p; crash e2 b1                             | q+s   | admitted |
+      | one crash                                    | send x e1 q+p; crash e1 b1                                                         | q+p   | admitted |
+      | three crashes on an earlier part             | send x e1 p+a; crash e1 b1; send y e1 p+b; crash e1 b2; send z e1 p+c; crash e1 b3 | p+s   | admitted |
+      | four crashes on an earlier part              | send x e1 p+a; crash e1 b1; send y e1 p+b; crash e1 b2; send z e1 p+c; crash e1 b3; send w e1 p+d; crash e1 b4 | p+s | refused |
+      | only one shared part                         | send x e1 p; crash e1 b1; send y e2 p; crash e2 b1                                 | p     | refused  |
+      | a part that was answered before              | served a q+p; send x e1 q+p; crash e1 b1; send y e2 q+p; crash e2 b1               | q+p   | admitted |
+      | a part that is answered after the crashes    | send x e1 p; crash e1 b1; send y e2 p; crash e2 b1; served z p                     | p     | admitted |
+      | a part that is answered elsewhere            | send x e1 p; crash e1 b1; send y e2 p; crash e2 b1; sound p                        | p     | admitted |
+      | a part that comes to crash targets later     | served a p; wait 61; send x e1 p; crash e1 b1; send y e2 p; crash e2 b1            | p     | refused  |
+      | answers that had gone on for a while         | send x e1 p; answer x; wait 0.6; crash e1 b1; send y e2 p; answer y; wait 0.6; crash e2 b1 | p | admitted |
+      | answers that had just begun                  | send x e1 p; answer x; wait 0.1; crash e1 b1; send y e2 p; answer y; wait 0.1; crash e2 b1 | p | refused |
+      | the crashes expire                           | send x e1 p; crash e1 b1; send y e2 p; crash e2 b1; wait 601                       | p     | admitted |
+
+  Scenario Outline: A day on which requests with <where> crash engines: seed <seed>
+    Given 6 instances before 6 engines that get 38 requests a second
+    When 3 requests a second hold <where> that crashes engines for 40 seconds
+    Then at most 3 requests with it are sent later than 3 seconds after the fifth crash
+    And sound requests with each earlier part begin at least half as often
+    And at most 2 + 4 in 100 of the parts are never served
+
+    Examples:
+      | where              | seed |
+      | a last shared part | 1    |
+      | a last shared part | 2    |
+      | a last shared part | 3    |
+      | an earlier part    | 4    |
+      | an earlier part    | 5    |
+      | an earlier part    | 6    |
+      | an earlier part    | 8    |
+
+  Scenario Outline: One request is let through to find out whether targets still crash: <case>
+    Given a poison tracker
+    When the tracker receives the events "send x e1 p; crash e1 b1; send y e2 p; crash e2 b1; <events>"
+    Then a new request with the shared parts p is <verdict>
+
+    Examples:
+      | case                            | events                                    | verdict  |
+      | not at once                     | wait 29                                   | refused  |
+      | after 30 seconds                | wait 30                                   | admitted |
+      | only one                        | wait 30; try p                            | refused  |
+      | only one at all instances       | wait 30; tried p                          | refused  |
+      | the next one after 60 seconds   | wait 30; try p; wait 60                   | admitted |
+      | an answer ends the refusal      | wait 30; try p; served z p                | admitted |
+      | another crash goes on with it   | wait 30; try p; send z e3 p; crash e3 b1; wait 59 | refused |
+
+  Scenario Outline: A part is not refused for crashes that another part explains: <case>
+    Given a poison tracker
+    When the tracker receives the events "<events>"
+    Then a new request with the shared parts s is <verdict>
+
+    Examples:
+      | case                        | events                                                                                          | verdict  |
+      | the other one crashed more  | send x e1 p; send a e1 s; crash e1 b1; send y e2 p; send b e2 s; crash e2 b1; send z e3 p; crash e3 b1 | admitted |
+      | both crashed the same       | send x e1 p; send a e1 s; crash e1 b1; send y e2 p; send b e2 s; crash e2 b1                     | refused  |
+      | it crashed alone as well    | send x e1 p; send a e1 s; crash e1 b1; send b e2 s; crash e2 b1; send z e3 p; crash e3 b1; send y e4 p; crash e4 b1 | refused |
--- a/tests/steps/bounded_body_steps.py
+++ b/tests/steps/bounded_body_steps.py
@@ -17,8 +17,8 @@
 from cowsliprack.state.engine_state import EngineOrder
 from cowsliprack.state.target_registry import TargetRegistry
 from cowsliprack.transport.checked_transport import CheckedTransport
-from cowsliprack.transport.crash_watch import CrashWatch, log_crash
 from cowsliprack.transport.exchange import exchange_from_scope
+from cowsliprack.transport.poison_watch import PoisonWatch
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.target_client import TargetClient
 from tests.support.routed import TABLE, routed_request, target_record
@@ -157,6 +157,7 @@
         'query_string': b'',
         'headers': [(b'host', b'desk.example'), (b'x-attempt-id', b'id')],
     }
+    poison = PoisonWatch(TargetRegistry(), time.monotonic)
     async with httpx.AsyncClient(transport=CheckedTransport()) as client:
         relay = RouteRelay(
             client=client,
@@ -164,7 +165,7 @@
             fleet=FleetView(),
             target_selector=context.selector,
             finder=_Finder(record),
-            crash_watch=CrashWatch(TargetRegistry(), log_crash),
+            poison=poison,
             apply_retry_limit=lambda _budget: None,
             table=lambda: TABLE,
             demand_changed=lambda: None,
--- a/tests/steps/poison_steps.py
+++ b/tests/steps/poison_steps.py
@@ -3,7 +3,8 @@
 from behave import given, then, when
 
 from cowsliprack.coordination import poison
-from cowsliprack.protocol.peer import PoisonNotice
+from cowsliprack.protocol.peer import PoisonNotice, SoundNotice, TrialNotice
+from tests.support.poison_world import EARLIER_PARTS, PoisonWorld
 
 
 @given('a poison tracker')
@@ -19,9 +20,26 @@
     for event in events.split('; '):
         kind, *words = event.split()
         if kind == 'send':
-            context.in_flight_ids[words[0]] = context.tracker.add_in_flight(
-                *words
+            digest, target, *parts = words
+            context.in_flight_ids[digest] = context.tracker.add_in_flight(
+                digest, target, _digests(parts)
             )
+        elif kind == 'answer':
+            context.tracker.record_answer(
+                context.in_flight_ids[words[0]], context.now
+            )
+        elif kind == 'served':
+            context.tracker.on_answered(
+                (words[0], *_digests(words[1:])), context.now
+            )
+        elif kind == 'try':
+            context.tracker.begin_trials(('new', *_digests(words)), context.now)
+        elif kind == 'tried':
+            notice = TrialNotice(poison.part_digest(words[0]))
+            context.tracker.on_trial_notice(notice, context.now)
+        elif kind == 'sound':
+            notice = SoundNotice(poison.part_digest(words[0]))
+            context.tracker.on_sound_notice(notice, context.now)
         elif kind == 'end':
             context.tracker.remove_in_flight(context.in_flight_ids[words[0]])
         elif kind == 'crash':
@@ -36,6 +54,20 @@
             context.now += float(words[0])
 
 
+def _digests(words):
+    """Return the digests of parts that are joined with plus signs."""
+    return tuple(
+        poison.part_digest(part) for word in words for part in word.split('+')
+    )
+
+
+@then('a new request with the shared parts {parts} is {verdict:w}')
+def then_verdict(context, parts, verdict):
+    digests = ('new', *_digests([parts]))
+    seconds = context.tracker.seconds_refused(digests, context.now)
+    assert bool(seconds) == (verdict == 'refused'), seconds
+
+
 def _state(context, digest):
     if context.tracker.is_refused(digest, context.now):
         return 'refused'
@@ -99,3 +131,46 @@
 @then('it stores {count:d} crashes')
 def then_count(context, count):
     assert len(context.tracker.notices(0)) == count
+
+
+@given(
+    '{instances:d} instances before {engines:d} engines that get {rate:d} '
+    'requests a second'
+)
+def given_world(context, instances, engines, rate):
+    seed = int(context.active_outline['seed'])
+    context.world = PoisonWorld(instances, engines, rate, seed)
+
+
+@when(
+    '{rate:d} requests a second hold {where} that crashes engines for '
+    '{seconds:d} seconds'
+)
+def when_played(context, rate, where, seconds):
+    context.now = seconds
+    context.world.play(rate, where == 'an earlier part', seconds)
+
+
+@then(
+    'at most {count:d} requests with it are sent later than {seconds:g} '
+    'seconds after the fifth crash'
+)
+def then_late_sends(context, count, seconds):
+    assert context.world.crashed_at
+    late = context.world.late_poison_sends(seconds)
+    assert late <= count, (late, context.world.crashed_at)
+
+
+@then('sound requests with each earlier part begin at least half as often')
+def then_earlier_parts(context):
+    world = context.world
+    for part in EARLIER_PARTS:
+        share = world.begun[part] / world.asked[part]
+        assert share >= 0.5, (part, share)
+
+
+@then('at most {count:d} + {share:d} in 100 of the parts are never served')
+def then_starved(context, count, share):
+    starved = context.world.starved_parts()
+    limit = count + share / 100 * len(context.world.asked)
+    assert len(starved) <= limit, starved
--- a/tests/steps/route_relay_steps.py
+++ b/tests/steps/route_relay_steps.py
@@ -33,7 +33,7 @@
         fleet=None,
         target_selector=None,
         finder=None,
-        crash_watch=None,
+        poison=None,
         apply_retry_limit=lambda budget: None,
         table=None,
         demand_changed=None,
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -15,6 +15,7 @@
 
 import anyio
 
+from tests.support.crashing_port import serve_crashing_port
 from tools.standins.objects import ObjectStoreServer
 from tools.standins.route_engine import RouteEngine
 from tools.standins.web import bind, serve_on
@@ -148,7 +149,8 @@
                 ('s2', 'shop', 0),
             ):
                 listener = bind()
-                port = listener.getsockname()[1]
+                server_port = listener.getsockname()[1]
+                port = free_port()
                 engine = RouteEngine(
                     target_id=name,
                     service=service,
@@ -159,7 +161,10 @@
                     max_models=places,
                 )
                 self.engines[name] = engine
-                tasks.start_soon(self._serve_target, engine, listener)
+                tasks.start_soon(
+                    serve_on, listener, engine.handle, self._stopped.wait
+                )
+                tasks.start_soon(self._serve_port, engine, port, server_port)
             self.engines['e1'].models = {'m0': set(), 'm1': set()}
             self.engines['e2'].models = {'m0': set()}
             for name in ('e1', 'e2'):
@@ -172,30 +177,16 @@
             await anyio.sleep(0.2)
             tasks.cancel_scope.cancel()
 
-    async def _serve_target(self, engine, listener):
-        """Serve a target; a crashed one starts again after a while."""
-        port = listener.getsockname()[1]
-        while not self._stopped.is_set():
-            await serve_on(listener, engine.handle, self._ended(engine))
-            # The server has closed the descriptor.
-            listener.detach()
-            if engine.crashed.is_set():
-                await anyio.sleep(RESTART_SECONDS)
-                listener = bind(port=port)
-                engine.restart()
-
-    def _ended(self, engine):
-        async def wait():
-            async with anyio.create_task_group() as tasks:
-
-                async def wait_for(event):
-                    await event.wait()
-                    tasks.cancel_scope.cancel()
-
-                tasks.start_soon(wait_for, engine.crashed)
-                tasks.start_soon(wait_for, self._stopped)
-
-        return wait
+    async def _serve_port(self, engine, port, server_port):
+        """Serve the port of a target; a crashed one starts again."""
+        while True:
+            listeners = await anyio.create_tcp_listener(
+                local_host='127.0.0.1', local_port=port
+            )
+            listener = listeners.listeners[0]
+            await serve_crashing_port(listener, server_port, engine.crashed)
+            await anyio.sleep(RESTART_SECONDS)
+            engine.restart()
 
     def call(self, function, *arguments):
         """Run a function in the thread of the stand-ins."""
