Treat a stream that ends inside an event as broken

Callers got such a stream as complete, with part of an event at its end.

Cause: h11 reports the end of the connection as the end of such a body, and what was left of an event was passed on as the last bytes. Now a rest of an event ends the send as broken: the stream is resumed where it may be, else left incomplete. A stream without framing and without any event counts as broken too, and an answer without framing proves no prompt part sound, since a crash looks like its end. Not told apart: a connection that ends between two events.

--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -14,6 +14,7 @@
 from cowsliprack.exceptions import ErrorKind, Ran, ServingError, TargetError
 from cowsliprack.logs import log_decision
 from cowsliprack.protocol.dialect import Dialect, ForwardingMetadata
+from cowsliprack.protocol.event_splitter import EventSplitter
 from cowsliprack.protocol.sse import MAX_EVENT_BYTES
 from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.state.target_registry import TargetRecord
@@ -398,7 +399,9 @@
         request.may_have_run = True
         if request.route.streams and status == _STATUS_OK:
             await self._forward_stream(request, target, response, sent_at)
-            self.poison.on_answered(request.digests)
+            # Without a length or chunks, a crash looks like the end.
+            if _has_framing(response):
+                self.poison.on_answered(request.digests)
             return
         body = await read_body(response, MAX_ANSWER_BYTES)
         if status >= _MIN_SERVER_ERROR_STATUS and self._may_retry_elsewhere(
@@ -445,29 +448,34 @@
         sent_at: float,
     ) -> None:
         exchange = request.exchange
-        request.splitter.buffer.clear()
+        splitter = request.splitter
+        splitter.buffer.clear()
         returned = self.dialect.returned_headers(response.headers.raw)
-        async for chunk in response.aiter_raw():
-            complete_events = request.splitter.feed(chunk)
-            if len(request.splitter.buffer) > MAX_EVENT_BYTES:
-                raise TargetError(
-                    f'an event is larger than {MAX_EVENT_BYTES} bytes',
-                    Ran.may_have_run,
-                )
-            if not complete_events:
-                continue
-            # Bytes that complete no event are no sign of progress.
-            now = self.clock()
-            self.target_selector.record_bytes(target.target_id, now)
-            self.poison.tracker.record_answer(request.in_flight_id, now)
-            if not request.first_byte_at:
-                self._record_first_byte(request, target, sent_at)
+        has_events = False
+        async for complete_events in _whole_events(response, splitter):
+            has_events = True
+            self._record_events(request, target, sent_at)
             if not exchange.started:
                 await exchange.start_raw(response.status_code, returned)
             await exchange.write(complete_events)
+        if splitter.buffer or not (has_events or _has_framing(response)):
+            raise httpx.ReadError('the stream ended inside an event')
         if not exchange.started:
             await exchange.start_raw(response.status_code, returned)
-        await exchange.write(bytes(request.splitter.buffer), more=False)
+        await exchange.write(b'', more=False)
+
+    def _record_events(
+        self,
+        request: RoutedRequest,
+        target: TargetRecord,
+        sent_at: float,
+    ) -> None:
+        """Record progress; bytes that complete no event are none."""
+        now = self.clock()
+        self.target_selector.record_bytes(target.target_id, now)
+        self.poison.tracker.record_answer(request.in_flight_id, now)
+        if not request.first_byte_at:
+            self._record_first_byte(request, target, sent_at)
 
     def _record_first_byte(
         self,
@@ -478,3 +486,26 @@
         now = self.clock()
         request.first_byte_at = now
         self.target_selector.record_success(target.target_id, now - sent_at)
+
+
+async def _whole_events(
+    response: httpx.Response,
+    splitter: EventSplitter,
+) -> AsyncIterator[bytes]:
+    """Yield the bytes of whole events of a stream as they arrive."""
+    async for chunk in response.aiter_raw():
+        complete_events = splitter.feed(chunk)
+        if len(splitter.buffer) > MAX_EVENT_BYTES:
+            raise TargetError(
+                f'an event is larger than {MAX_EVENT_BYTES} bytes',
+                Ran.may_have_run,
+            )
+        if complete_events:
+            yield complete_events
+
+
+def _has_framing(response: httpx.Response) -> bool:
+    """Return whether the end of a response can be told from a broken one."""
+    return bool(
+        response.headers.keys() & {'content-length', 'transfer-encoding'}
+    )
--- /dev/null
+++ b/tests/steps/route_streams_steps.py
@@ -0,0 +1,148 @@
+"""Steps for streams of engines that have no length."""
+
+import socket
+import struct
+import threading
+import time
+
+import anyio
+import httpx
+from behave import given, then, when
+
+from cowsliprack.coordination.fleet_view import FleetView
+from cowsliprack.coordination.target_selector import TargetSelector
+from cowsliprack.exceptions import ServingError
+from cowsliprack.platform.headers import PLATFORM_DIALECT
+from cowsliprack.state.target_registry import TargetRegistry
+from cowsliprack.transport.checked_transport import CheckedTransport
+from cowsliprack.transport.exchange import exchange_from_scope
+from cowsliprack.transport.poison_watch import PoisonWatch
+from cowsliprack.transport.route_relay import RouteRelay
+from tests.support.routed import TABLE, routed_request, target_record
+
+_HEAD = (
+    b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n'
+    b'x-attempt-id: id\r\nconnection: close\r\n\r\n'
+)
+_FIRST = b'id: 1\ndata: one\n\n'
+_SECOND = b'id: 2\ndata: two\n\n'
+_BODIES = {
+    'after its last event': _FIRST + _SECOND,
+    'inside its second event': _FIRST + _SECOND[:9],
+    'inside its first event': _FIRST[:9],
+    'before its first event': b'',
+    'with a reset': _FIRST,
+}
+# SO_LINGER value (on, 0 seconds) that makes close() send a TCP reset.
+_RESET = struct.pack('ii', 1, 0)
+# Until the bytes before a reset have been read.
+_BEFORE_RESET_SECONDS = 0.1
+
+
+class _Engine:
+    """Engine that breaks its first stream and goes on with the second one."""
+
+    def __init__(self, end):
+        self.end = end
+        self.heads = []
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        port = self.listener.getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            with connection:
+                self._answer(connection)
+
+    def _answer(self, connection):
+        head = connection.recv(65536)
+        self.heads.append(head)
+        if len(self.heads) > 1:
+            rest = _SECOND if b'last-event-id: 1' in head else _FIRST + _SECOND
+            connection.sendall(_HEAD + rest)
+            return
+        connection.sendall(_HEAD + _BODIES[self.end])
+        if self.end == 'with a reset':
+            time.sleep(_BEFORE_RESET_SECONDS)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+
+
+class _Finder:
+    def __init__(self, record):
+        self._record = record
+
+    async def find(self, _request):
+        return self._record
+
+
+@given('an engine whose stream without a length ends {end}')
+def given_engine(context, end):
+    context.engine = _Engine(end)
+    context.add_cleanup(context.engine.listener.close)
+
+
+@when('a caller asks for a stream at {path}')
+def when_asked(context, path):
+    context.messages = []
+    context.error = None
+    anyio.run(_serve, context, path)
+
+
+async def _serve(context, path):
+    async def send(message):
+        context.messages.append(message)
+
+    scope = {
+        'method': 'GET',
+        'path': f'{path}1',
+        'query_string': b'',
+        'headers': [(b'host', b'desk.example'), (b'x-attempt-id', b'id')],
+    }
+    record = target_record('e1', address=context.engine.address)
+    async with httpx.AsyncClient(transport=CheckedTransport()) as client:
+        relay = RouteRelay(
+            client=client,
+            dialect=PLATFORM_DIALECT,
+            fleet=FleetView(),
+            target_selector=TargetSelector('z'),
+            finder=_Finder(record),
+            poison=PoisonWatch(TargetRegistry(), time.monotonic),
+            apply_retry_limit=lambda _budget: None,
+            table=lambda: TABLE,
+            demand_changed=lambda: None,
+            clock=time.monotonic,
+        )
+        request = routed_request(
+            f'{path}1',
+            'llm',
+            time.monotonic(),
+            5,
+            exchange=exchange_from_scope(scope, None, send),
+        )
+        try:
+            await relay.serve(request)
+        except ServingError as error:
+            context.error = error
+
+
+@then('its response is {state:w} with the events {events}')
+def then_response(context, state, events):
+    body = b''.join(message.get('body', b'') for message in context.messages)
+    ids = [line[4:] for line in body.split(b'\n') if line.startswith(b'id:')]
+    assert b' '.join(ids).decode() == events, body
+    ended = any(
+        message['type'] == 'http.response.body'
+        and not message.get('more_body', False)
+        for message in context.messages
+    )
+    assert ended == (state == 'complete'), (context.messages, context.error)
+
+
+@then('the engine got {count:d} requests')
+def then_requests(context, count):
+    assert len(context.engine.heads) == count, context.engine.heads
