Log the limits that targets name in their answers

The dialect now reads it from each answer, and each change is a target_limit line with the instance and the target, so that the sends of all instances can be compared with it. Nothing is decided by it yet.

--- a/cowsliprack/coordination/target_selector.py
+++ b/cowsliprack/coordination/target_selector.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from cowsliprack.coordination.target_limits import TargetLimits
 from cowsliprack.protocol.gateway_messages import EngineUse
 from cowsliprack.state.target_registry import TargetRecord
 
@@ -68,6 +69,7 @@
     :param own_at_report_by_id: running requests of this instance at the time
         of that report.
     :param started_by_model: number of requests ever started.
+    :param limits: request rates that targets have named.
     """
 
     zone: str
@@ -77,6 +79,7 @@
     own_at_report_by_id: dict[str, int] = field(default_factory=dict)
     health_by_id: dict[str, TargetHealth] = field(default_factory=dict)
     started_by_model: Counter[str] = field(default_factory=Counter)
+    limits: TargetLimits = field(default_factory=TargetLimits)
     _names_by_id: dict[str, Counter[str]] = field(default_factory=dict)
     _last_by_prompt: dict[str, str] = field(default_factory=dict)
 
--- a/cowsliprack/platform/headers.py
+++ b/cowsliprack/platform/headers.py
@@ -1,5 +1,6 @@
 """Headers of requests and responses in the protocol of the platform."""
 
+import math
 from collections.abc import Iterable
 
 from cowsliprack.protocol.credentials import HOP_BY_HOP_HEADERS
@@ -24,6 +25,8 @@
 _RESUME_AFTER = b'last-event-id'
 _PRIORITY = b'x-request-priority'
 _NOT_RUN = b'x-not-run'
+# Requests per second that a target in need takes from all instances together.
+_LIMIT = b'server-limit'
 _MISDIRECTED_STATUS = 421
 _MS = 1000
 # Seconds by which the deadline sent to a target is earlier than the caller's,
@@ -147,6 +150,19 @@
     return status == _MISDIRECTED_STATUS
 
 
+def stated_limit(headers: HeaderPairs) -> float | None:
+    """Return the limit that a target names, requests per second.
+
+    :param headers: headers of the response.
+    :returns: ``None`` if it names none or one that is not a number.
+    """
+    text = _find_header(headers, _LIMIT)
+    if text is None:
+        return None
+    rate = _parse_non_negative(text.decode('latin-1'))
+    return rate if rate is not None and math.isfinite(rate) else None
+
+
 def _find_header(headers: HeaderPairs, wanted: bytes) -> bytes | None:
     for name, value in headers:
         if name.lower() == wanted:
@@ -187,5 +203,6 @@
     returned_headers=returned_headers,
     is_response_to=is_response_to,
     is_not_run_response=is_not_run_response,
+    stated_limit=stated_limit,
     is_misdirected=is_misdirected,
 )
--- a/cowsliprack/protocol/dialect.py
+++ b/cowsliprack/protocol/dialect.py
@@ -68,6 +68,8 @@
         id.
     :param is_not_run_response: whether a target's response (status, headers)
         states that it has not run the request.
+    :param stated_limit: returns the requests per second that a target says it
+        takes from all instances together; ``None`` for no limit.
     :param is_misdirected: whether the status states that the target is not
         the expected one or lacks the model.
     """
@@ -80,4 +82,5 @@
     returned_headers: Callable[[HeaderPairs], list[tuple[bytes, bytes]]]
     is_response_to: Callable[[HeaderPairs, str], bool]
     is_not_run_response: Callable[[int, HeaderPairs], bool]
+    stated_limit: Callable[[HeaderPairs], float | None]
     is_misdirected: Callable[[int], bool]
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -13,7 +13,11 @@
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.exceptions import ErrorKind, Ran, ServingError, TargetError
 from cowsliprack.logs import log_decision
-from cowsliprack.protocol.dialect import Dialect, ForwardingMetadata
+from cowsliprack.protocol.dialect import (
+    Dialect,
+    ForwardingMetadata,
+    HeaderPairs,
+)
 from cowsliprack.protocol.event_splitter import EventSplitter
 from cowsliprack.protocol.sse import MAX_EVENT_BYTES
 from cowsliprack.state.routing_table import RoutingTable
@@ -388,6 +392,7 @@
                 'the answer belongs to another request',
                 Ran.may_have_run,
             )
+        self._record_limit(target, headers)
         if self.dialect.is_not_run_response(status, headers):
             if self.dialect.is_misdirected(status):
                 self.fleet.mark_missing(
@@ -413,6 +418,18 @@
         if status < _MIN_SERVER_ERROR_STATUS:
             self.poison.on_answered(request.digests)
 
+    def _record_limit(self, target: TargetRecord, headers: HeaderPairs) -> None:
+        rate = self.dialect.stated_limit(headers)
+        limits = self.target_selector.limits
+        if limits.record_answer(target.target_id, rate, self.clock()):
+            log_decision(
+                'target_limit',
+                target.target_id,
+                'an answer names another limit than the last one',
+                rate=rate,
+                service=target.service,
+            )
+
     def _may_retry_elsewhere(
         self, request: RoutedRequest, target: TargetRecord
     ) -> bool:
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -24,6 +24,18 @@
       | Last-Event-Id     | 3            | 12       |
       | Host              | desk.example | desk.example |
 
+  Scenario Outline: An answer whose limit is <text>
+    Then an answer with the header "Server-Limit: <text>" names the limit <rate>
+
+    Examples:
+      | text   | rate |
+      | 4.9    | 4.9  |
+      | 1      | 1.0  |
+      | 0      | 0.0  |
+      | none   | None |
+      | inf    | None |
+      | nan    | None |
+
   Scenario: A header named in the Connection header is not forwarded
     When a request that names X-One-Hop in its Connection header is forwarded
     Then the target does not receive the header "x-one-hop"
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from cowsliprack.exceptions import ConfigurationError
-from cowsliprack.platform.headers import forwarded_headers
+from cowsliprack.platform.headers import forwarded_headers, stated_limit
 from cowsliprack.platform.settings import parse_platform_settings
 from cowsliprack.platform.wire import decode_configuration
 from cowsliprack.protocol.dialect import ForwardingMetadata
@@ -133,3 +133,10 @@
 @then('the whole configuration is rejected')
 def then_rejected(context):
     assert isinstance(context.decoded, ConfigurationError), context.decoded
+
+
+@then('an answer with the header "Server-Limit: {text}" names the limit {rate}')
+def then_limit(context, text, rate):
+    named = stated_limit([(b'Server-Limit', text.encode())])
+    assert str(named) == rate, named
+    assert stated_limit([]) is None
