Reproduce targets that get more than the limit they name, as failing tests

Two gateway processes get 16 requests a second for two engines, or two services, that name a limit of 2 a second each. Allowed in 4 s are one and a half times the limit and 5, 17 arrivals.

--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -210,3 +210,14 @@
     When callers send 12 requests with the prompt parts "ab 0bad" to g1 and g2
     Then no engine crashed later than 1 second after the second crash
     And requests with the prompt parts "ab cd" are served by g1 and g2
+
+  Scenario Outline: <targets> get no more requests than the limit they name
+    Given <targets> that name a limit of 2 requests a second
+    When callers send <request> 16 times a second to g1 and g2 for 9 seconds
+    Then after 3 seconds no 4 seconds have more than 17 arrivals at one of them
+    And the requests that were not served were refused without running
+
+    Examples:
+      | targets  | request          |
+      | engines  | a stream of m0   |
+      | services | a lookup         |
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import time
+from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
@@ -790,3 +791,64 @@
     for gateway in ('g1', 'g2'):
         response = _send_with_parts(context, gateway, parts)
         _check_events(response, 5)
+
+
+_TARGETS = {'engines': ('e1', 'e2'), 'services': ('s1', 's2')}
+
+
+@given('{targets:w} that name a limit of {rate:g} requests a second')
+def given_limit(context, targets, rate):
+    context.limited = _TARGETS[targets]
+    for name in context.limited:
+        context.cluster.engines[name].faults.stated_limit = rate
+
+
+@when(
+    'callers send {kind} {rate:d} times a second to g1 and g2 for '
+    '{seconds:d} seconds'
+)
+def when_sent_at_rate(context, kind, rate, seconds):
+    context.began_at = time.monotonic()
+
+    def send_one(number):
+        due_at = context.began_at + number / rate
+        time.sleep(max(due_at - time.monotonic(), 0))
+        gateway = f'g{number % 2 + 1}'
+        if kind == 'a lookup':
+            _, headers = _headers()
+            return _request(context, gateway, 'GET', '/stock/1', headers)
+        return _stream(context, gateway, 'm0', '/chat/')
+
+    with ThreadPoolExecutor(rate * 4) as callers:
+        context.responses = list(callers.map(send_one, range(rate * seconds)))
+
+
+@then(
+    'after {grace:d} seconds no {window:d} seconds have more than {count:d} '
+    'arrivals at one of them'
+)
+def then_arrivals(context, grace, window, count):
+    for name in context.limited:
+        arrivals = [
+            at
+            for at in context.cluster.engines[name].arrived_at
+            if at > context.began_at + grace
+        ]
+        most = max(
+            sum(start <= at < start + window for at in arrivals)
+            for start in arrivals
+        )
+        assert most <= count, (name, most)
+
+
+@then('the requests that were not served were refused without running')
+def then_refused(context):
+    statuses = Counter(response[0] for response in context.responses)
+    assert set(statuses) <= {200, 503}, statuses
+    # Two targets serve 2 requests a second each for 9 seconds.
+    assert statuses[200] >= 18, statuses
+    assert all(
+        float(response[1]['retry-after']) > 0
+        for response in context.responses
+        if response[0] == 503
+    )
--- a/tools/standins/route_engine.py
+++ b/tools/standins/route_engine.py
@@ -48,6 +48,8 @@
     :param unanswered_requests: number of requests to run without responding.
     :param crashing_parts: prompt parts on which the engine crashes as soon as
         it runs a request with one of them.
+    :param stated_limit: requests per second that answers name as a limit;
+        ``None`` for none.
     """
 
     lost_order_responses: int = 0
@@ -58,6 +60,7 @@
     failed_responses: int = 0
     unanswered_requests: int = 0
     crashing_parts: set[str] = field(default_factory=set)
+    stated_limit: float | None = None
 
 
 @dataclass(slots=True)
@@ -76,6 +79,8 @@
     :param executed_ids: IDs of the requests that were run, with repetitions.
     :param max_models_held: highest number of models loaded or being loaded.
     :param running_by_model: number of running requests.
+    :param arrived_at: time at which each request arrived, seconds of the
+        monotonic clock.
     :param crashed: set while the engine has no process.
     :param crashed_at: time of each crash, seconds of the monotonic clock.
     """
@@ -103,6 +108,7 @@
     orders: list[dict[str, Any]] = field(default_factory=list)
     max_models_held: int = 0
     running_by_model: Counter[str] = field(default_factory=Counter)
+    arrived_at: list[float] = field(default_factory=list)
     crashed: anyio.Event = field(default_factory=anyio.Event)
     crashed_at: list[float] = field(default_factory=list)
 
@@ -253,6 +259,7 @@
     async def _handle_run(self, request: Request) -> None:
         request_id = request.header('x-attempt-id') or ''
         model, _, adapter = (request.header('x-model') or '').partition('/')
+        self.arrived_at.append(time.monotonic())
         if self.faults.refused_requests:
             self.faults.refused_requests -= 1
             await self._refuse(request, _UNAVAILABLE, request_id)
@@ -295,11 +302,7 @@
         await request.start(status, headers=headers)
         await request.write(b'', more=False)
 
-    async def _respond(self, request: Request, request_id: str) -> None:
-        if self.faults.unanswered_requests:
-            self.faults.unanswered_requests -= 1
-            await request.wait_for_disconnect()
-            return
+    def _response_headers(self, request_id: str) -> dict[str, str]:
         if self.faults.wrong_request_ids:
             self.faults.wrong_request_ids -= 1
             request_id = 'of-another-request'
@@ -307,6 +310,16 @@
             'x-attempt-id': request_id,
             'x-server-seal': f'seal-{self.target_id}',
         }
+        if self.faults.stated_limit is not None:
+            headers['server-limit'] = str(self.faults.stated_limit)
+        return headers
+
+    async def _respond(self, request: Request, request_id: str) -> None:
+        if self.faults.unanswered_requests:
+            self.faults.unanswered_requests -= 1
+            await request.wait_for_disconnect()
+            return
+        headers = self._response_headers(request_id)
         if not self.max_models:
             status = 200
             if self.faults.failed_responses:
