--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -201,7 +201,9 @@
             return 'send limit reached'
         if request.deadline - now < _MIN_RUN_SECONDS:
             return 'deadline reached'
-        if failure.ran is Ran.may_have_run and not request.is_repeatable():
+        if failure.ran is Ran.not_run:
+            return ''
+        if not request.is_repeatable():
             return 'may have run'
         if self.poison.tracker.seconds_refused(request.digests, now):
             return 'targets crashed on it'
