Serve requests elsewhere while an engine keeps a limit

Two causes found by reading: an adapter that only the limited engine held was not loaded on another replica, and a request whose turn came too late was refused before the leader knew of it, so that nothing was loaded elsewhere.

Now adapters go to replicas without a limit, and a request waits if another engine can load its model in time.

--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -305,7 +305,7 @@
         offering = self._index.offering(candidate.model)
         if candidate.count and offering:
             order = plan_adapter(
-                offering,
+                _without_limit(offering) or offering,
                 candidate.model,
                 candidate.adapter,
                 self.spec.adapter_slots,
@@ -545,6 +545,10 @@
         return orders
 
 
+def _without_limit(engines: list[EngineState]) -> list[EngineState]:
+    return [engine for engine in engines if not engine.is_limited]
+
+
 def _limited_candidates(
     groups: list[GroupDemand], index: EngineIndex
 ) -> list[_LoadCandidate]:
@@ -555,8 +559,7 @@
     return [
         _LoadCandidate(model, benefit=count)
         for model, count in sorted(counts.items())
-        if (offering := index.offering(model))
-        and all(engine.is_limited for engine in offering)
+        if (offering := index.offering(model)) and not _without_limit(offering)
     ]
 
 
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -1,5 +1,6 @@
 """Chooses the target of a request, waiting for a model if necessary."""
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -20,6 +21,8 @@
 _RECHECK_SECONDS = 0.25
 # Shortest pause of a request that waits for its turn at a target with a limit.
 _MIN_RECHECK_SECONDS = 0.01
+# Time until the leader has planned a load for a request and its end is known.
+_PLAN_SECONDS = 0.2
 # Longest Retry-After for targets at their limit; a limit may end at any time.
 _MAX_LIMIT_RETRY_SECONDS = 10.0
 # An instance counts as isolated after this time without a leader's view and
@@ -74,7 +77,7 @@
         if not request.exchange.started:
             gives_up_at = min(request.first_event_deadline, request.deadline)
         if limited:
-            self._check_queue(limited, gives_up_at - now, now)
+            self._check_queue(request, limited, gives_up_at - now, now)
         waiter = Waiter(
             key=(request.service, metadata.model, metadata.adapter),
             since=request.arrived_at,
@@ -98,14 +101,20 @@
 
     def _check_queue(
         self,
+        request: RoutedRequest,
         limited: list[str],
         seconds_left: float,
         now: float,
     ) -> None:
-        """Reject a request whose turn comes too late at targets with limits."""
+        """Reject a request whose turn comes too late at targets with limits.
+
+        A request waits all the same if another engine can load its model in
+        time: the leader loads what requests wait for.
+        """
         limits = self.target_selector.limits
         seconds = limits.seconds_of_queue(limited, now)
-        if seconds > seconds_left:
+        load_seconds = self._seconds_of_other_load(request, now)
+        if min(seconds, load_seconds) > seconds_left:
             raise ServingError(
                 ErrorKind.queue_full,
                 'the targets are at the limit that they named',
@@ -113,6 +122,33 @@
                 * self.rng.uniform(1, 1.3),
             )
 
+    def _seconds_of_other_load(
+        self, request: RoutedRequest, now: float
+    ) -> float:
+        """Return how long a load on an engine without a limit takes.
+
+        :returns: ``inf`` if there is no such engine.
+        """
+        metadata = request.metadata
+        service = self.table().services_by_name.get(request.service)
+        if not metadata.model or service is None or service.engine is None:
+            return math.inf
+        model = service.engine.models_by_name.get(metadata.model)
+        limits = self.target_selector.limits
+        others = [
+            record
+            for record in self.fleet.registry.ready_targets(request.service)
+            if not limits.limited([record.target_id], now)
+        ]
+        if model is None or not others:
+            return math.inf
+        holders = self.fleet.candidates(
+            request.service, metadata.model, '', now
+        )
+        if any(record in others for record in holders):
+            return _PLAN_SECONDS
+        return model.disk_seconds + _PLAN_SECONDS
+
     async def _wait_for_target(
         self,
         request: RoutedRequest,
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -424,6 +424,14 @@
       | another engine has none    | a    | e1      |           |
       | no engine that holds it    | d    | e2      |           |
 
+  Scenario: An adapter that only an engine with a limit holds is loaded on another
+    Given engine e1 holds a with adapters x1 to x8
+    And engine e2 holds a, d and has c on disk
+    And e1 has named a limit
+    And 1 request waits for a/x3
+    When the scheduler plans
+    Then the orders are "e2 load a x3"
+
   Scenario: The replica without a limit stays
     Given engine e1 holds a, b and has c on disk
     And there has been demand for a while
--- a/tests/steps/target_finder_steps.py
+++ b/tests/steps/target_finder_steps.py
@@ -11,6 +11,7 @@
 from cowsliprack.coordination.waiting_requests import WaitingRequests
 from cowsliprack.exceptions import ErrorKind, Ran, ServingError
 from cowsliprack.protocol.dialect import RequestMetadata
+from cowsliprack.state.target_registry import LoadedModel
 from cowsliprack.transport.target_finder import TargetFinder
 from tests.support.routed import TABLE, routed_request, target_record
 
@@ -126,3 +127,99 @@
         assert error.ran is Ran.not_run
         assert error.retry_after > 0
         assert waited < 0.5, waited
+
+
+@given(
+    'an engine that holds m0 and has named a limit of {rate:g} requests a '
+    'second'
+)
+def given_limited_engine(context, rate):
+    context.records = [_engine('e1', 'm0')]
+    context.rates_by_id = {'e1': rate}
+
+
+def _engine(target_id, *models):
+    return target_record(
+        target_id,
+        service='llm',
+        loaded_models_by_name={
+            model: LoadedModel(
+                1, frozenset({'a1'} if target_id == 'e1' else ())
+            )
+            for model in models
+        },
+    )
+
+
+@given('no other engine')
+def given_no_other(context):
+    """Keep the only engine."""
+
+
+@given('an engine without a limit')
+def given_other(context):
+    context.records.append(_engine('e2', 'm1'))
+
+
+@given('an engine without a limit with m0')
+def given_other_holder(context):
+    context.records.append(_engine('e2', 'm0'))
+
+
+@given('another engine with a limit')
+def given_other_limited(context):
+    context.records.append(_engine('e2', 'm1'))
+    context.rates_by_id['e2'] = 1
+
+
+@when(
+    'a request for m0{adapter} that can wait {patience:g} seconds looks for it'
+)
+@when('a request for m0 that can wait {patience:g} seconds looks for it')
+def when_model_looked_for(context, patience, adapter=''):
+    now = time.monotonic()
+    fleet = FleetView()
+    fleet.registry.replace(context.records, 1)
+    selector = TargetSelector('z')
+    for target_id, rate in context.rates_by_id.items():
+        selector.limits.record_answer(target_id, rate, now)
+    finder = TargetFinder(
+        fleet=fleet,
+        target_selector=selector,
+        waiting_requests=WaitingRequests(),
+        freshness=Freshness(60, now),
+        table=lambda: TABLE,
+        demand_changed=lambda: None,
+        clock=time.monotonic,
+    )
+    request = routed_request(
+        '/chat/x',
+        'llm',
+        now,
+        patience,
+        exchange=_NotStarted(),
+        metadata=RequestMetadata(
+            'id', '', None, model='m0', adapter=adapter.removeprefix('/')
+        ),
+    )
+    context.error = anyio.run(_find_briefly, finder, request)
+
+
+async def _find_briefly(finder, request):
+    with anyio.move_on_after(0.05):
+        try:
+            await finder.find(request)
+        except ServingError as error:
+            return error
+    return None
+
+
+@then('it waits')
+def then_waits(context):
+    assert context.error is None, context.error
+
+
+@then('it is rejected at once')
+def then_rejected_at_once(context):
+    assert context.error is not None
+    assert context.error.kind is ErrorKind.queue_full
--- a/tests/transport/target_finder.feature
+++ b/tests/transport/target_finder.feature
@@ -25,3 +25,17 @@
       | 10   | 1     | 1      | 0        |
       | 10   | 4     | 4      | 0        |
       | 10   | 40    | 20     | 20       |
+
+  Scenario Outline: The only engine of a model has a limit of 0.1 a second, <others>
+    Given an engine that holds m0 and has named a limit of 0.1 requests a second
+    And <others>
+    When a request for m0<adapter> that can wait <patience> seconds looks for it
+    Then it <waits>
+
+    Examples:
+      | others                            | adapter | patience | waits               |
+      | no other engine                   |         | 1        | is rejected at once |
+      | an engine without a limit         |         | 1        | waits               |
+      | an engine without a limit         |         | 0.1      | is rejected at once |
+      | an engine without a limit with m0 | /a1     | 0.5      | waits               |
+      | another engine with a limit       |         | 1        | is rejected at once |
