Leave the turns of engines with a limit to requests that need them

A limited engine is the least busy one, so requests that other engines could run took its turns, and models were loaded on it like on any other.

Now such an engine counts as busier by the 28 requests at which a model gets another replica, and a load on it as a second slower.

Tests: 3 scenarios of target_selector and model_scheduler failed before; 61 pass.

--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -46,6 +46,9 @@
 _MEAN_RUN_SECONDS = 1.5
 # Seconds by which each request for an evicted model is delayed.
 _RELOAD_DELAY_SECONDS = 0.8
+# Seconds by which each request is delayed on an engine that has named a limit,
+# about one turn of an instance.
+_LIMITED_DELAY_SECONDS = 1.0
 # Weight of a request that has missed its latency target; one that can still
 # be served in time has weight 1.
 _LATE_WEIGHT = 0.2
@@ -440,6 +443,8 @@
                 + self._waiting_share_by_id.get(engine.target_id, 0)
                 + self._index.only_copy_risk(engine)
             )
+        if engine.is_limited:
+            load_seconds += _LIMITED_DELAY_SECONDS
         if self._has_room(engine, model):
             yield _Placement(engine, (), load_seconds)
             return
--- a/cowsliprack/coordination/target_selector.py
+++ b/cowsliprack/coordination/target_selector.py
@@ -22,6 +22,10 @@
 # consecutive failures.
 _INITIAL_BACKOFF_SECONDS = 0.5
 _MAX_BACKOFF_SECONDS = 4.0
+# Load added to a target that has named a limit, in requests: its turns are left
+# to requests that no other target can run, until another one is so busy that
+# its model gets a further replica.
+_LIMITED_LOAD_PENALTY = 28.0
 # Load added to a target while it is avoided, in requests.
 _AVOIDED_LOAD_PENALTY = 1000.0
 # Seconds without a response byte after which a target with running requests is
@@ -313,6 +317,8 @@
         load = self.running(record.target_id) + self.rng.random()
         if record.zone != self.zone:
             load += _OTHER_ZONE_LOAD_PENALTY
+        if self.limits.limited([record.target_id], now):
+            load += _LIMITED_LOAD_PENALTY
         health = self.health_by_id.get(record.target_id)
         if health is None:
             return load
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -432,6 +432,14 @@
     When the scheduler plans
     Then the orders are "e2 load a x3"
 
+  Scenario: A model is loaded on an engine without a limit
+    Given engine e1 holds a and has c on disk
+    And engine e2 holds b and has c on disk
+    And e1 has named a limit
+    And 1 request waits for c
+    When the scheduler plans
+    Then the orders are "e2 load c"
+
   Scenario: The replica without a limit stays
     Given engine e1 holds a, b and has c on disk
     And there has been demand for a while
--- a/tests/coordination/target_selector.feature
+++ b/tests/coordination/target_selector.feature
@@ -27,3 +27,14 @@
     Given a connection to t1 has failed
     When t1 has responded
     Then t1 is not reported
+
+  Scenario Outline: A target with a limit that runs nothing, beside one that runs <running>
+    Given target t1 runs nothing and has named a limit
+    And target t2 runs <running> requests
+    Then <chosen> is chosen
+
+    Examples:
+      | running | chosen |
+      | 1       | t2     |
+      | 20      | t2     |
+      | 40      | t1     |
--- a/tests/steps/target_selector_steps.py
+++ b/tests/steps/target_selector_steps.py
@@ -100,3 +100,20 @@
 @then('t1 is not reported')
 def then_not_reported(context):
     assert not context.choice.engine_uses(context.now)
+
+
+@given('target t1 runs nothing and has named a limit')
+def given_limited(context):
+    context.choice = TargetSelector('z')
+    context.choice.limits.record_answer('t1', 5.0, 0.0)
+
+
+@given('target t2 runs {count:d} requests')
+def given_busy(context, count):
+    context.choice.update_reported({'t2': count})
+
+
+@then('{name:w} is chosen')
+def then_chosen(context, name):
+    records = [target_record('t1'), target_record('t2')]
+    assert context.choice.choose(records, 0.5).target_id == name
