Pass no request on whose connection may be closed as idle

Cause: the HTTP library's idle task wakes with the stop, and its close is shielded, so that a request which is read before the close runs does not prevent it. From the stop on, only such requests are new; they now get 503 shutting_down, not run, and reach no target. Whether their caller sees that answer or a closed connection still depends on the moment.

--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -154,6 +154,7 @@
             table=self.current_table,
             reserve=self.region.reserve,
             closing=self.is_draining,
+            stopped=self.is_stopped,
             clock=read_clock,
         )
 
@@ -165,6 +166,10 @@
         """Return whether a graceful shutdown is in progress."""
         return self.draining
 
+    def is_stopped(self) -> bool:
+        """Return whether idle connections are being closed."""
+        return self.waiting_requests.closed
+
     def is_ready(self) -> bool:
         """Return whether the load balancer should send connections here."""
         # Without the list of targets every request would be rejected.
--- a/cowsliprack/transport/route_server.py
+++ b/cowsliprack/transport/route_server.py
@@ -30,7 +30,7 @@
 )
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.routed_request import RoutedRequest
-from cowsliprack.transport.target_finder import pick_service
+from cowsliprack.transport.target_finder import pick_service, shutting_down
 
 # A stream's caller disconnects when it has received no event for the longest
 # of these: a fixed time, a multiple of the route's latency target, and a
@@ -54,6 +54,7 @@
     :param reserve: charges tokens of a request to an organisation; returns
         ``None`` or the seconds after which to retry.
     :param closing: returns whether to close connections after the response.
+    :param stopped: returns whether idle connections are being closed.
     :param clock: seconds; must keep running during suspension.
     """
 
@@ -65,6 +66,7 @@
     table: Callable[[], RoutingTable]
     reserve: Callable[[OrganisationLimits, float], Awaitable[float | None]]
     closing: Callable[[], bool]
+    stopped: Callable[[], bool]
     clock: Callable[[], float]
     rng: random.Random = field(default_factory=random.Random)
     open_requests: int = 0
@@ -117,6 +119,9 @@
         metadata: RequestMetadata,
         arrived_at: float,
     ) -> RoutedRequest:
+        if self.stopped():
+            # Its connection may be closed as idle, so it goes to no target.
+            raise shutting_down()
         table = self.table()
         host = _host(exchange)
         if not table.generation:
