--- a/tests/steps/target_finder_steps.py
+++ b/tests/steps/target_finder_steps.py
@@ -16,6 +16,18 @@
 from tests.support.routed import TABLE, routed_request, target_record
 
 
+def _finder(fleet, selector, freshness):
+    return TargetFinder(
+        fleet=fleet,
+        target_selector=selector,
+        waiting_requests=WaitingRequests(),
+        freshness=freshness,
+        table=lambda: TABLE,
+        demand_changed=lambda: None,
+        clock=time.monotonic,
+    )
+
+
 @given('the last view of the leader is {age:g} seconds old')
 def given_leader(context, age):
     context.leader_age = age
@@ -29,14 +41,10 @@
 @when('a request waits there for a model')
 def when_waits(context):
     now = time.monotonic()
-    finder = TargetFinder(
-        fleet=FleetView(updated_at=now - context.leader_age),
-        target_selector=TargetSelector('z'),
-        waiting_requests=WaitingRequests(),
-        freshness=Freshness(5, now - context.store_age),
-        table=lambda: TABLE,
-        demand_changed=lambda: None,
-        clock=time.monotonic,
+    finder = _finder(
+        FleetView(updated_at=now - context.leader_age),
+        TargetSelector('z'),
+        Freshness(5, now - context.store_age),
     )
     request = routed_request(
         '/chat/x',
@@ -80,15 +88,7 @@
     fleet.registry.replace([target_record('s1', service='shop')], 1)
     selector = TargetSelector('z')
     selector.limits.record_answer('s1', rate, now)
-    context.finder = TargetFinder(
-        fleet=fleet,
-        target_selector=selector,
-        waiting_requests=WaitingRequests(),
-        freshness=Freshness(60, now),
-        table=lambda: TABLE,
-        demand_changed=lambda: None,
-        clock=time.monotonic,
-    )
+    context.finder = _finder(fleet, selector, Freshness(60, now))
 
 
 @when('{count:d} requests look for it at the same time')
@@ -183,15 +183,7 @@
     selector = TargetSelector('z')
     for target_id, rate in context.rates_by_id.items():
         selector.limits.record_answer(target_id, rate, now)
-    finder = TargetFinder(
-        fleet=fleet,
-        target_selector=selector,
-        waiting_requests=WaitingRequests(),
-        freshness=Freshness(60, now),
-        table=lambda: TABLE,
-        demand_changed=lambda: None,
-        clock=time.monotonic,
-    )
+    finder = _finder(fleet, selector, Freshness(60, now))
     request = routed_request(
         '/chat/x',
         'llm',
