Send requests again to a target that has not confirmed its limit

Since turns are left to requests that no other target can run, a target whose requests all go elsewhere gets none, cannot say that its limit has ended, and would be avoided for 60 s.

It is avoided for 10 s after its last statement now, and keeps getting no more than the limit.

--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -5,6 +5,7 @@
 
 from cowsliprack.coordination.model_scheduler import GroupDemand, ModelScheduler
 from cowsliprack.coordination.target_limits import (
+    AVOIDED_SECONDS,
     ReportedUses,
     divide_limits,
     newest_limits,
@@ -280,7 +281,9 @@
             for engine in scheduler.engines_by_id.values():
                 stated = newest.get(engine.target_id)
                 engine.is_limited = (
-                    stated is not None and stated.rate is not None
+                    stated is not None
+                    and stated.rate is not None
+                    and stated.age < AVOIDED_SECONDS
                 )
 
     def _live_members(self, now: float) -> list[Member]:
--- a/cowsliprack/coordination/target_limits.py
+++ b/cowsliprack/coordination/target_limits.py
@@ -16,6 +16,10 @@
 # A limit that no answer has confirmed for this time no longer holds; a target
 # that gets requests at its limit confirms it within seconds.
 _LIMIT_LIFETIME_SECONDS = 60.0
+# Time after the last statement for which a target with a limit is avoided. One
+# that gets no requests cannot say that its limit has ended, so that after this
+# time it gets them again, within the limit.
+AVOIDED_SECONDS = 10.0
 # Age of the leader's division from which limits are divided evenly. A leader's
 # lease lapses at about the same time.
 _SHARE_LIFETIME_SECONDS = 5.0
@@ -166,6 +170,16 @@
             if math.isfinite(self.rate(target_id, now))
         ]
 
+    def is_avoided(self, target_id: str, now: float) -> bool:
+        """Return whether requests should go to other targets if they can.
+
+        :param target_id: id of the target.
+        :param now: seconds.
+        """
+        if not self.limited([target_id], now):
+            return False
+        return now - self.stated_by_id[target_id].stated_at < AVOIDED_SECONDS
+
     def seconds_until_free(self, target_id: str, now: float) -> float:
         """Return when a request may be sent; 0 for now, ``inf`` for unknown.
 
--- a/cowsliprack/coordination/target_selector.py
+++ b/cowsliprack/coordination/target_selector.py
@@ -317,7 +317,7 @@
         load = self.running(record.target_id) + self.rng.random()
         if record.zone != self.zone:
             load += _OTHER_ZONE_LOAD_PENALTY
-        if self.limits.limited([record.target_id], now):
+        if self.limits.is_avoided(record.target_id, now):
             load += _LIMITED_LOAD_PENALTY
         health = self.health_by_id.get(record.target_id)
         if health is None:
--- a/tests/coordination/target_selector.feature
+++ b/tests/coordination/target_selector.feature
@@ -38,3 +38,8 @@
       | 1       | t2     |
       | 20      | t2     |
       | 40      | t1     |
+
+  Scenario: A target that has not named its limit for a while gets requests again
+    Given target t1 runs nothing and has named a limit
+    And target t2 runs 20 requests
+    Then t1 is chosen after 11 seconds
--- a/tests/steps/target_selector_steps.py
+++ b/tests/steps/target_selector_steps.py
@@ -114,6 +114,7 @@
 
 
 @then('{name:w} is chosen')
-def then_chosen(context, name):
+@then('{name:w} is chosen after {seconds:g} seconds')
+def then_chosen(context, name, seconds=0.5):
     records = [target_record('t1'), target_record('t2')]
-    assert context.choice.choose(records, 0.5).target_id == name
+    assert context.choice.choose(records, seconds).target_id == name
