Test answers without a length that are not streams

What was not tested are answers without a length that are no streams: a whole one is passed on, one that ends with a reset is not.

--- a/tests/steps/route_streams_steps.py
+++ b/tests/steps/route_streams_steps.py
@@ -1,4 +1,4 @@
-"""Steps for streams of engines that have no length."""
+"""Steps for answers of targets that have no length."""
 
 import socket
 import struct
@@ -26,6 +26,7 @@
 )
 _FIRST = b'id: 1\ndata: one\n\n'
 _SECOND = b'id: 2\ndata: two\n\n'
+_ANSWER = b'{"parts": 2}'
 _BODIES = {
     'after its last event': _FIRST + _SECOND,
     'inside its second event': _FIRST + _SECOND[:9],
@@ -40,10 +41,15 @@
 
 
 class _Engine:
-    """Engine that breaks its first stream and goes on with the second one."""
+    """Engine that breaks its first response and goes on with the second one.
 
-    def __init__(self, end):
+    :param whole: body of a response that is not broken.
+    """
+
+    def __init__(self, end, broken, whole):
         self.end = end
+        self.broken = broken
+        self.whole = whole
         self.heads = []
         self.listener = socket.create_server(('127.0.0.1', 0))
         port = self.listener.getsockname()[1]
@@ -63,10 +69,10 @@
         head = connection.recv(65536)
         self.heads.append(head)
         if len(self.heads) > 1:
-            rest = _SECOND if b'last-event-id: 1' in head else _FIRST + _SECOND
+            rest = _SECOND if b'last-event-id: 1' in head else self.whole
             connection.sendall(_HEAD + rest)
             return
-        connection.sendall(_HEAD + _BODIES[self.end])
+        connection.sendall(_HEAD + self.broken)
         if self.end == 'with a reset':
             time.sleep(_BEFORE_RESET_SECONDS)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
@@ -82,11 +88,19 @@
 
 @given('an engine whose stream without a length ends {end}')
 def given_engine(context, end):
-    context.engine = _Engine(end)
+    context.engine = _Engine(end, _BODIES[end], _FIRST + _SECOND)
+    context.add_cleanup(context.engine.listener.close)
+
+
+@given('an engine whose answer without a length ends {end}')
+def given_plain_answer(context, end):
+    body = _ANSWER[:5] if end == 'with a reset' else _ANSWER
+    context.engine = _Engine(end, body, _ANSWER)
     context.add_cleanup(context.engine.listener.close)
 
 
 @when('a caller asks for a stream at {path}')
+@when('a caller asks for an answer at {path}')
 def when_asked(context, path):
     context.messages = []
     context.error = None
@@ -143,6 +157,18 @@
     assert ended == (state == 'complete'), (context.messages, context.error)
 
 
+@then('the outcome is the whole answer')
+def then_whole_answer(context):
+    body = b''.join(message.get('body', b'') for message in context.messages)
+    assert (context.error, body) == (None, _ANSWER), context.messages
+
+
+@then('the outcome is {kind:w}')
+def then_error(context, kind):
+    assert context.error.kind.value == kind, context.error
+    assert not context.messages, context.messages
+
+
 @then('the engine got {count:d} requests')
 def then_requests(context, count):
     assert len(context.engine.heads) == count, context.engine.heads
--- a/tests/transport/route_streams.feature
+++ b/tests/transport/route_streams.feature
@@ -1,7 +1,7 @@
-Feature: Streams of engines that have no length
-  Guards against passing on a stream as complete that its engine has broken off
-  (P8): a stream without a length or chunks ends with its connection, also when
-  the engine crashes in the middle of an event.
+Feature: Answers of targets that have no length
+  Guards against passing on an answer as complete that its target has broken off
+  (P8): an answer without a length or chunks ends with its connection, also when
+  the target crashes, in a stream in the middle of an event.
 
   Scenario Outline: A stream without a length ends <end>, on <path>
     Given an engine whose stream without a length ends <end>
@@ -18,3 +18,16 @@
       | inside its second event  | /report/ | broken   | 1      | 1     |
       | with a reset             | /chat/   | complete | 1 2    | 2     |
       | after its last event     | /report/ | complete | 1 2    | 1     |
+
+  Scenario Outline: An answer without a length ends <end>, on <path>
+    Given an engine whose answer without a length ends <end>
+    When a caller asks for an answer at <path>
+    Then the outcome is <outcome>
+    And the engine got <count> requests
+
+    Examples:
+      | end          | path     | outcome          | count |
+      | as a whole   | /order/  | the whole answer | 1     |
+      | as a whole   | /stock/  | the whole answer | 1     |
+      | with a reset | /order/  | target_failed    | 1     |
+      | with a reset | /stock/  | the whole answer | 2     |
