Order what is read from the store by era and revision

The leader's list of targets stood at revision 145 when the store went away at 15.0; it came back at 17.0 below that, and each list and change was ignored as older until 24.16, when revision 146 was given out again. The drain was at 22.0.

Cause: the client of the store read no Store-Era; revisions of two histories were compared. Now a version is (era, revision) as one number, made and taken apart in the client: it rises across a return, so that the registry, the members' reports, the expected versions of writes and the numbers of leases order rightly. A watch does not go on in another history and ends at once when any call shows the return; a list is of one history; an answer of an earlier era, or whose era is no number, changes nothing. Between instances: a member whose list is of another history gets a complete one, since changes cannot say what else differs.

Ruled out: only forgetting the revision on 410; where the revision has been given out again a watch gets no 410 and misses what lies between.

Tests: store.feature 30 passed (the stand-in store now states an era and can come back from a copy); 11 of 29 rows failed before, among them the check that a watch without changes starts at the revision of the list, which now compares versions. target_registry.feature 8 passed. gateway.feature, a target that drains after a return: failed before, passes.

--- a/cowsliprack/platform/store.py
+++ b/cowsliprack/platform/store.py
@@ -18,6 +18,12 @@
     StoreUnavailableError,
 )
 from cowsliprack.protocol.store import StoredObject
+from cowsliprack.state.store_version import (
+    MAX_ERA,
+    era_of,
+    join_version,
+    revision_of,
+)
 from cowsliprack.transport.call_limits import Backoff, CallBudget
 
 # Seconds. The store responds in milliseconds; a call without a response within
@@ -35,6 +41,9 @@
 _HTTP_CONFLICT = 409
 _HTTP_GONE = 410
 _MS = 1000
+# States the era of the store's history; rises each time the store comes back
+# from an older copy.
+_ERA_HEADER = 'store-era'
 
 _Wire = TypeVar('_Wire')
 
@@ -79,7 +88,7 @@
     """Objects of one kind, or their changes since an earlier read.
 
     :param specs_by_name: spec of each object; ``None`` if it was removed.
-    :param revision: revision of the store that the result reflects.
+    :param revision: version of the store that the result reflects.
     :param asked_at: time on the client's clock just before the call was sent.
         The result includes every write that the store confirmed before it.
     """
@@ -93,7 +102,7 @@
     """Client of the store; also the ``ObjectStore`` of the lease.
 
     Writes are never retried here, since a write whose response is lost may
-    still take effect.
+    still take effect. An answer of an earlier era changes nothing.
 
     :param base_url: URL of the store.
     :param client: HTTP client that inspects connections before reuse.
@@ -114,12 +123,17 @@
         self._clock = clock
         self._budget = CallBudget(_CALLS_PER_SECOND, _CALLS_PER_SECOND)
         self._backoff = Backoff(rng or random.Random())
+        self._has_era = False
+        self.era = 0
+        self._watch_scopes: set[anyio.CancelScope] = set()
         self.calls = 0
 
     async def list_kind(self, kind: str) -> ReadResult:
         """Return all objects of a kind.
 
         :param kind: kind of the objects.
+        :raises HistoryGoneError: the store came back from an older copy
+            between two pages.
         :raises StoreUnavailableError: no usable response.
         """
         asked_at = self._clock()
@@ -130,13 +144,15 @@
             query = f'?after={quote(after)}' if after else ''
             response = await self._call('GET', f'/-/objects/{kind}{query}')
             page = _decode(response, _Page)
+            if after:
+                self._require_era_of(revision)
             objects = _decode_objects(page.items)
             specs_by_name.update(
                 (entry.metadata.name, entry.spec) for entry in objects
             )
             # A watch that starts at the revision of the first page reports
             # changes made while later pages were read.
-            revision = page.as_of if revision < 0 else revision
+            revision = self._version(page.as_of) if revision < 0 else revision
             if not (page.has_more and objects):
                 return ReadResult(specs_by_name, revision, asked_at)
             after = objects[-1].metadata.name
@@ -156,15 +172,17 @@
         :raises StoreUnavailableError: no usable response.
         """
         asked_at = self._clock()
+        self._require_era_of(since)
+        revision = revision_of(since)
         wait_ms = int(wait_seconds * _MS)
-        response = await self._call(
-            'GET',
-            f'/-/objects/{kind}?watch={since}&wait_ms={wait_ms}',
-            seconds=wait_seconds + _WATCH_GRACE_SECONDS,
+        response = await self._call_until_return(
+            f'/-/objects/{kind}?watch={revision}&wait_ms={wait_ms}',
+            wait_seconds + _WATCH_GRACE_SECONDS,
         )
-        if response.status_code == _HTTP_GONE:
+        self._require_era_of(since)
+        if response is None or response.status_code == _HTTP_GONE:
             raise HistoryGoneError(
-                f'history of {kind} since revision {since} is gone'
+                f'history of {kind} since revision {revision} is gone'
             )
         batch = _decode(response, _Events)
         if not batch.events:
@@ -178,14 +196,14 @@
             specs_by_name[event.object.metadata.name] = (
                 None if event.removed else event.object.spec
             )
-        return ReadResult(specs_by_name, batch.as_of, asked_at)
+        return ReadResult(specs_by_name, self._version(batch.as_of), asked_at)
 
     async def read(self, key: str) -> StoredObject | None:
         """Return an object, or ``None`` if it does not exist."""
         response = await self._call('GET', _path(key))
         if response.status_code == _HTTP_NOT_FOUND:
             return None
-        return _to_stored_object(key, response)
+        return self._to_stored_object(key, response)
 
     async def create(self, key: str, body: dict[str, object]) -> StoredObject:
         """Create an object; raise a conflict if it exists."""
@@ -200,16 +218,15 @@
         expected_version: int,
     ) -> StoredObject:
         """Replace an object if it has the expected version."""
-        metadata = {'name': key.partition('/')[2], 'rev': expected_version}
+        revision = self._expected_revision(key, expected_version)
+        metadata = {'name': key.partition('/')[2], 'rev': revision}
         content = {'metadata': metadata, 'spec': body}
         return await self._write('PUT', _path(key), key, content)
 
     async def delete(self, key: str, expected_version: int) -> None:
         """Delete an object if it has the expected version."""
-        response = await self._call(
-            'DELETE',
-            f'{_path(key)}?rev={expected_version}',
-        )
+        revision = self._expected_revision(key, expected_version)
+        response = await self._call('DELETE', f'{_path(key)}?rev={revision}')
         if response.status_code == _HTTP_CONFLICT:
             raise StoreConflictError(f'DELETE {key}: version does not match')
 
@@ -227,7 +244,68 @@
         )
         if response.status_code in {_HTTP_CONFLICT, _HTTP_NOT_FOUND}:
             raise StoreConflictError(f'{method} {key}: version does not match')
-        return _to_stored_object(key, response)
+        return self._to_stored_object(key, response)
+
+    def _to_stored_object(
+        self, key: str, response: httpx.Response
+    ) -> StoredObject:
+        stored = _decode(response, _Object)
+        spec = stored.spec if isinstance(stored.spec, dict) else {}
+        return StoredObject(key, self._version(stored.metadata.rev), spec)
+
+    def _version(self, revision: int) -> int:
+        """Return the version of a revision in the answer just received."""
+        return join_version(self.era, revision)
+
+    def _expected_revision(self, key: str, version: int) -> int:
+        """Return the revision to expect; the store compares no eras."""
+        if era_of(version) != self.era:
+            raise StoreConflictError(f'{key}: version of an earlier era')
+        return revision_of(version)
+
+    def _require_era_of(self, version: int) -> None:
+        if era_of(version) != self.era:
+            raise HistoryGoneError(
+                f'the store has come back from an older copy in era {self.era}'
+            )
+
+    def _apply_era(self, response: httpx.Response, call: str) -> None:
+        """Apply the era that an answer states.
+
+        :raises StoreUnavailableError: the answer is of an earlier era, or its
+            era is not a number.
+        """
+        stated = response.headers.get(_ERA_HEADER)
+        if stated is None:
+            return
+        era = int(stated) if stated.isdecimal() else -1
+        if not self.era <= era <= MAX_ERA:
+            _log.warning(
+                'store_answer_refused', call=call, stated=stated, era=self.era
+            )
+            raise StoreUnavailableError(f'{call}: answer of era {stated}')
+        if self._has_era and era > self.era:
+            _log.warning(
+                'store_returned', call=call, era=era, previous=self.era
+            )
+        if era > self.era:
+            # What they wait for may be lost, or have another revision.
+            for scope in self._watch_scopes:
+                scope.cancel()
+        self._has_era = True
+        self.era = era
+
+    async def _call_until_return(
+        self, path: str, seconds: float
+    ) -> httpx.Response | None:
+        """Return the answer; ``None`` if the store came back meanwhile."""
+        with anyio.CancelScope() as scope:
+            self._watch_scopes.add(scope)
+            try:
+                return await self._call('GET', path, seconds=seconds)
+            finally:
+                self._watch_scopes.discard(scope)
+        return None
 
     async def _call(
         self,
@@ -253,6 +331,7 @@
             raise StoreUnavailableError(
                 f'{method} {path}: {error!r}'
             ) from error
+        self._apply_era(response, f'{method} {path}')
         expected = {
             _HTTP_OK,
             _HTTP_CREATED,
@@ -302,9 +381,3 @@
         except msgspec.DecodeError as error:
             _log.warning('store_object_malformed', error=str(error))
     return objects
-
-
-def _to_stored_object(key: str, response: httpx.Response) -> StoredObject:
-    stored = _decode(response, _Object)
-    spec = stored.spec if isinstance(stored.spec, dict) else {}
-    return StoredObject(key, stored.metadata.rev, spec)
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -166,6 +166,8 @@
     :param registry_revision: revision of the leader's target list.
     :param targets: targets added or changed since the member's revision.
     :param targets_gone: ids of the targets removed since then.
+    :param targets_complete: whether ``targets`` lists all targets, because the
+        member's revision is of another history of the store.
     :param lease_version: version of the lease object that the leader last
         wrote.
     :param lease_left: seconds until the leader stops leading unless it renews
@@ -187,6 +189,7 @@
     registry_revision: int = -1
     targets: tuple[TargetView, ...] = ()
     targets_gone: tuple[str, ...] = ()
+    targets_complete: bool = False
     lease_version: int | None = None
     lease_left: float = 0
     limits: tuple[LimitShare, ...] = ()
--- a/cowsliprack/protocol/store.py
+++ b/cowsliprack/protocol/store.py
@@ -17,7 +17,8 @@
 class StoredObject:
     """An object of the platform store.
 
-    :param version: number of the last write; increases across the store.
+    :param version: of the last write; increases across the store, also when
+        it comes back from an older copy.
     :param body: JSON-compatible mapping; ``attempt`` is the id of the write.
     """
 
@@ -46,8 +47,14 @@
 
     Each method raises ``StoreUnavailableError`` when there is no response.
     Each write raises ``StoreConflictError`` when its condition does not hold.
+
+    :param era: number of the store's history as of its last answer. It rises
+        when the store comes back from an older copy, which lacks the last
+        writes.
     """
 
+    era: int
+
     async def read(self, key: str) -> StoredObject | None:
         """Return an object, ``None`` if it does not exist."""
 
--- a/cowsliprack/state/target_registry.py
+++ b/cowsliprack/state/target_registry.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
+from cowsliprack.state.store_version import era_of
+
 
 @enum.unique
 class TargetState(enum.StrEnum):
@@ -69,6 +71,8 @@
 class TargetRegistry:
     """Targets by id and service; older data never replaces newer data.
 
+    Revisions are versions of the store, see :mod:`.store_version`.
+
     :param revision: revision of the store at the last read.
     :param change_revision_by_id: revision at which the fields that routing
         reads last changed; the models of an engine are not among them.
@@ -109,12 +113,17 @@
     ) -> bool:
         """Apply changes since the last read; return whether they were accepted.
 
+        Changes in another history of the store are ignored, since they do not
+        say what else differs there.
+
         :param changed: targets that are new or have changed.
         :param removed: ids of removed targets.
         :param revision: revision of the changes; an older one is ignored.
         """
         if revision < self.revision:
             return False
+        if self.revision >= 0 and not self.shares_history(revision):
+            return False
         self.revision = revision
         for target_id in removed:
             self._remove(target_id)
@@ -142,6 +151,13 @@
         ]
         return changed, removed
 
+    def shares_history(self, revision: int) -> bool:
+        """Return whether changes since a revision are known.
+
+        :param revision: revision of a read, possibly by another instance.
+        """
+        return era_of(revision) == era_of(self.revision)
+
     def ready_targets(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that accept requests.
 
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -11,17 +11,16 @@
 
 from cowsliprack.coordination.fleet_view import FleetView
 from cowsliprack.coordination.freshness import Freshness
-from cowsliprack.coordination.relayed_targets import relayed_record
 from cowsliprack.coordination.retry import RetryLimit, apply_retry_limit
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.coordination.token_credit import TokenCredit
 from cowsliprack.coordination.waiting_requests import WaitingRequests
 from cowsliprack.exceptions import ConfigurationError
 from cowsliprack.metrics import Metrics
-from cowsliprack.protocol.gateway_messages import LeaderView
 from cowsliprack.protocol.platform_bindings import PlatformBindings
 from cowsliprack.state.gateway_settings import GatewaySettings
 from cowsliprack.state.routing_table import RoutingTable
+from cowsliprack.state.store_version import revision_of
 from cowsliprack.transport.clock import read_clock
 from cowsliprack.transport.exchange import (
     Exchange,
@@ -38,6 +37,7 @@
 from cowsliprack.transport.route_server import RouteServer
 from cowsliprack.transport.signals import wait_for_stop
 from cowsliprack.transport.store_reader import KindReader, KindReading
+from cowsliprack.transport.target_feed import TargetFeed
 from cowsliprack.transport.target_finder import TargetFinder
 
 # Time that the load balancer needs, after the readiness check fails, to stop
@@ -77,6 +77,7 @@
     _listeners_closed: anyio.Event = field(default_factory=anyio.Event)
     freshness: Freshness = field(init=False)
     region: Region = field(init=False)
+    target_feed: TargetFeed = field(init=False)
     server: RouteServer = field(init=False)
 
     def __post_init__(self) -> None:
@@ -89,6 +90,11 @@
             settings.quota_window_seconds,
         )
         poison = PoisonWatch(self.fleet.registry, read_clock)
+        self.target_feed = TargetFeed(
+            self.fleet.registry,
+            self.bindings.decode_target,
+            self._on_targets_changed,
+        )
         self.region = Region(
             RegionContext(
                 instance_id=settings.instance_id,
@@ -111,7 +117,7 @@
                 table=self.current_table,
                 configuration_copy=self._copy_configuration,
                 apply_configuration_copy=self._apply_configuration_copy,
-                apply_relayed_targets=self._apply_relayed_targets,
+                apply_relayed_targets=self.target_feed.apply_view,
                 clock=read_clock,
             ),
         )
@@ -196,7 +202,7 @@
                     bindings.store,
                     bindings.targets_kind,
                     bindings.targets_watch_seconds,
-                    self._on_target_reading,
+                    self.target_feed.apply_reading,
                     self.region.reads_store,
                     _TARGET_BATCH_SECONDS,
                 ).run,
@@ -315,7 +321,7 @@
         _log.info(
             'configuration_in_force',
             generation=table.generation,
-            revision=revision,
+            revision=None if revision is None else revision_of(revision),
             source='leader' if revision is None else 'store',
             bytes=len(self._configuration_copy),
             limits={
@@ -326,49 +332,5 @@
         self.region.configuration_changed()
         self.waiting_requests.notify_all()
 
-    def _apply_relayed_targets(self, view: LeaderView) -> None:
-        registry = self.fleet.registry
-        if not registry.apply(
-            [relayed_record(target) for target in view.targets],
-            list(view.targets_gone),
-            view.registry_revision,
-        ):
-            return
-        if view.targets or view.targets_gone:
-            _log.info(
-                'targets',
-                revision=view.registry_revision,
-                source='leader',
-                changed=[
-                    f'{target.target_id} {target.state}'
-                    for target in view.targets[:20]
-                ],
-                removed=view.targets_gone[:20],
-            )
-            self.region.registry_changed()
-
-    def _on_target_reading(self, reading: KindReading, whole: bool) -> None:
-        changed = []
-        removed = []
-        for name, spec in reading.specs_by_name.items():
-            record = self.bindings.decode_target(name, spec) if spec else None
-            if record is None:
-                removed.append(name)
-            else:
-                changed.append(record)
-        registry = self.fleet.registry
-        if whole:
-            is_newer = registry.replace(changed, reading.revision)
-        else:
-            is_newer = registry.apply(changed, removed, reading.revision)
-        if is_newer and (whole or changed or removed):
-            _log.info(
-                'targets',
-                revision=reading.revision,
-                changed=[
-                    f'{record.target_id} {record.state.value}'
-                    for record in changed[:20]
-                ],
-                removed=removed[:20],
-            )
-            self.region.registry_changed()
+    def _on_targets_changed(self) -> None:
+        self.region.registry_changed()
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -14,7 +14,7 @@
 from cowsliprack.coordination.lease import Lease
 from cowsliprack.coordination.notice_exchange import LeaderNotices
 from cowsliprack.coordination.region_state import Member, RegionState
-from cowsliprack.coordination.relayed_targets import target_view
+from cowsliprack.coordination.relayed_targets import registry_changes
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.coordination.token_credit import LeaderTokenCredit, TokenCredit
 from cowsliprack.coordination.waiting_requests import WaitingRequests
@@ -274,17 +274,14 @@
         proof_offset = None
         if member.stamp:
             proof_offset = context.freshness.proved_at - member.seen_at
-        changed, gone = context.fleet.registry.changes_since(
-            report.registry_revision,
-        )
         table = context.table()
         view = msgspec.structs.replace(
             self.state.view_for(member, now),
             generation=table.generation,
             proof_offset=proof_offset,
-            registry_revision=context.fleet.registry.revision,
-            targets=tuple(target_view(record) for record in changed),
-            targets_gone=tuple(gone),
+            **registry_changes(
+                context.fleet.registry, report.registry_revision
+            ),
             lease_version=self._lease.observation.version,
             lease_left=left,
         )
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -21,6 +21,7 @@
 from cowsliprack.protocol.event_splitter import EventSplitter
 from cowsliprack.protocol.sse import MAX_EVENT_BYTES
 from cowsliprack.state.routing_table import RoutingTable
+from cowsliprack.state.store_version import revision_of
 from cowsliprack.state.target_registry import TargetRecord
 from cowsliprack.transport.bounded_body import MAX_ANSWER_BYTES, read_body
 from cowsliprack.transport.poison_watch import PoisonWatch
@@ -255,7 +256,7 @@
             waited_ms=round((now - request.arrived_at) * 1000),
             view_age_ms=round(min(now - self.fleet.updated_at, 1e4) * 1000),
             configuration=self.table().generation,
-            registry=self.fleet.registry.revision,
+            registry=revision_of(self.fleet.registry.revision),
         )
         model = request.metadata.model
         self.target_selector.start(
--- a/cowsliprack/transport/store_client.py
+++ b/cowsliprack/transport/store_client.py
@@ -125,6 +125,8 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Open no connection yet."""
+        # This protocol states no era: the store never loses a write.
+        self.era = 0
         self._base_url = base_url
         self._clock = clock
         self._call_seconds = call_seconds
--- /dev/null
+++ b/cowsliprack/transport/target_feed.py
@@ -0,0 +1,82 @@
+"""Applies lists and changes of targets, read from the store or relayed."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+
+from cowsliprack.coordination.relayed_targets import apply_relayed_targets
+from cowsliprack.protocol.gateway_messages import LeaderView
+from cowsliprack.state.store_version import era_of, revision_of
+from cowsliprack.state.target_registry import TargetRecord, TargetRegistry
+from cowsliprack.transport.store_reader import KindReading
+
+# Most targets named in one log line.
+_MAX_LOGGED_TARGETS = 20
+
+_log = structlog.get_logger('cowsliprack.targets')
+
+
+@dataclass(frozen=True, slots=True)
+class TargetFeed:
+    """Keeps the registry of targets of one instance up to date.
+
+    :param decode: decodes a stored target; ``None`` if the object names none.
+    :param changed: called after each accepted change.
+    """
+
+    registry: TargetRegistry
+    decode: Callable[[str, Any], TargetRecord | None]
+    changed: Callable[[], None]
+
+    def apply_reading(self, reading: KindReading, whole: bool) -> None:
+        """Apply what was read from the store.
+
+        :param reading: all targets, or the changes since an earlier reading.
+        :param whole: whether it lists all targets.
+        """
+        changed = []
+        removed = []
+        for name, spec in reading.specs_by_name.items():
+            record = self.decode(name, spec) if spec else None
+            if record is None:
+                removed.append(name)
+            else:
+                changed.append(record)
+        registry = self.registry
+        if whole:
+            is_newer = registry.replace(changed, reading.revision)
+        else:
+            is_newer = registry.apply(changed, removed, reading.revision)
+        if is_newer and (whole or changed or removed):
+            states = [
+                f'{record.target_id} {record.state.value}' for record in changed
+            ]
+            self._report('store', states, removed)
+
+    def apply_view(self, view: LeaderView) -> None:
+        """Apply the targets that the leader relays.
+
+        :param view: view of the leader.
+        """
+        if not apply_relayed_targets(self.registry, view):
+            return
+        if view.targets or view.targets_gone:
+            states = [
+                f'{target.target_id} {target.state}' for target in view.targets
+            ]
+            self._report('leader', states, list(view.targets_gone))
+
+    def _report(
+        self, source: str, states: list[str], removed: list[str]
+    ) -> None:
+        _log.info(
+            'targets',
+            revision=revision_of(self.registry.revision),
+            era=era_of(self.registry.revision),
+            source=source,
+            changed=states[:_MAX_LOGGED_TARGETS],
+            removed=removed[:_MAX_LOGGED_TARGETS],
+        )
+        self.changed()
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -111,6 +111,11 @@
     When the entry of service s1 is deleted
     Then 20 lookups at both gateways run at s2 only
 
+  Scenario: A target that drains after the store came back from an older copy gets no new requests
+    When the store comes back from an older copy
+    And service s1 reports that it is draining
+    Then 20 lookups at both gateways run at s2 only
+
   Scenario: An unreachable target delays requests only slightly
     Given a service s3 whose host drops every packet
     When a caller sends 20 lookups to g1 at once
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -1,6 +1,8 @@
 Feature: Client of the platform's object store
   Guards against writes of unknown outcome that count as failed or done, lists
-  that lack a page, and changes lost with a compacted history (P13, P14).
+  that lack a page, changes lost with a compacted history, and against revisions
+  of two histories that are taken for one after the store came back from an
+  older copy (P13, P14).
 
   Background:
     Given a simulated platform store with 7 targets
@@ -50,3 +52,42 @@
     Given the store loses responses
     When a update is made
     Then the store holds the written object
+
+  Scenario Outline: A watch does not go on in another history, <state>
+    When the store comes back from a copy while the targets are <state>
+    Then the watch ends with HistoryGoneError
+
+    Examples:
+      | state                                  |
+      | listed                                 |
+      | watched                                |
+      | listed, and gives out revisions again  |
+
+  Scenario: A watch ends as soon as another call shows that the store came back
+    When an object is read while the targets of a returned store are watched for 2 seconds
+    Then the watch ends with HistoryGoneError
+    And it ended within 0.5 seconds
+
+  Scenario: A list is of one history
+    When the store comes back from a copy between two pages of a list
+    Then the list ends with HistoryGoneError
+
+  Scenario: Versions rise when the store comes back from a copy
+    When an object is read before and after the store comes back from a copy
+    Then the second version is higher, and the next higher still
+
+  Scenario: A write does not expect a version of another history
+    When the store comes back from a copy and gives out the expected revision again
+    Then an update and a delete end with StoreConflictError
+
+  Scenario Outline: An answer that states the era <era> changes nothing
+    When a read gets an answer that states the era <era>
+    Then the call ends with StoreUnavailableError
+    And the next call ends with success in era 3
+
+    Examples:
+      | era     |
+      | 2       |
+      | -1      |
+      | none    |
+      | 9999999 |
--- /dev/null
+++ b/tests/state/target_registry.feature
@@ -0,0 +1,36 @@
+Feature: Registry of targets
+  Guards against a list of targets that stays at an older state because the
+  store came back from an older copy, in which revisions went back (P11).
+
+  Scenario: A list of another history replaces a list with a higher revision
+    Given targets a and b as of revision 145 of era 1
+    When targets b and c are listed as of revision 30 of era 2
+    Then the targets are b and c
+
+  Scenario: Changes in another history are ignored until there is a list
+    Given targets a and b as of revision 145 of era 1
+    When target c changes as of revision 150 of era 2
+    Then the targets are a and b
+
+  Scenario Outline: A list of <era> and revision <revision> is ignored
+    Given targets a and b as of revision 30 of era 2
+    When targets c and d are listed as of revision <revision> of era <era>
+    Then the targets are a and b
+
+    Examples:
+      | era | revision |
+      | 1   | 145      |
+      | 2   | 29       |
+
+  Scenario Outline: A leader's view after the store came back: <member>
+    Given a leader that knew targets a and b as of revision 145 of era 1
+    And a member that knew targets <known> as of revision <revision> of era <era>
+    When the leader lists targets b and c as of revision 30 of era 2
+    Then the member has the targets b and c after the leader's view
+
+    Examples:
+      | member                   | known     | revision | era |
+      | as old as the leader     | a and b   | 145      | 1   |
+      | newer in the old history | a, b and d | 150     | 1   |
+      | without any list         | none      | -1       | 0   |
+      | as new as the leader     | b and c   | 30       | 2   |
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -377,6 +377,32 @@
     time.sleep(0.5)
 
 
+def _write_registrations(cluster):
+    for engine in cluster.engines.values():
+        cluster.call(engine.register)
+
+
+@when('the store comes back from an older copy')
+def when_store_returns(context):
+    cluster = context.cluster
+    copy = cluster.call(cluster.platform.copy)
+    # Many revisions later, so that the returned store does not reach the
+    # revision that the gateways have read.
+    for _ in range(10):
+        _write_registrations(cluster)
+    time.sleep(0.6)
+    cluster.platform.faults.outage = True
+    time.sleep(0.5)
+    cluster.call(cluster.platform.restore, copy)
+    cluster.platform.faults.outage = False
+    _write_registrations(cluster)
+    _wait_until(
+        lambda: any('store_regained' in cluster.log(g) for g in ('g1', 'g2')),
+        5,
+    )
+    time.sleep(1)
+
+
 @when('the entry of service s1 is deleted')
 def when_deleted(context):
     cluster = context.cluster
--- a/tests/steps/platform_store_steps.py
+++ b/tests/steps/platform_store_steps.py
@@ -1,6 +1,7 @@
 """Steps for the client of the platform's object store."""
 
 import asyncio
+import time
 
 import anyio
 import httpx
@@ -8,6 +9,7 @@
 
 from cowsliprack.exceptions import StoreError
 from cowsliprack.platform.store import PlatformStore
+from cowsliprack.state.store_version import join_version
 from cowsliprack.transport.checked_transport import CheckedTransport
 from tools.standins.objects import ObjectStoreServer
 from tools.standins.web import bind, serve_on
@@ -39,7 +41,13 @@
         listener = bind()
         url = f'http://127.0.0.1:{listener.getsockname()[1]}'
         serving = asyncio.ensure_future(
-            serve_on(listener, context.platform.handle, stopped.wait)
+            serve_on(
+                listener,
+                lambda request: getattr(
+                    context, 'handle', context.platform.handle
+                )(request),
+                stopped.wait,
+            )
         )
         async with httpx.AsyncClient(transport=CheckedTransport()) as client:
             result = await use(PlatformStore(url, client))
@@ -91,7 +99,8 @@
 
 @when("the targets are listed and watched while the store's revision grows")
 def when_revision_grows(context):
-    context.list_revision = context.platform.rev
+    platform = context.platform
+    context.list_revision = join_version(platform.era, platform.rev)
     _watch_after_list(
         context, lambda: context.platform.put('other', 'x', {}), 0.2
     )
@@ -165,3 +174,188 @@
     assert context.outcome == 'StoreUnavailableError'
     stored = _run_with_store(context, lambda store: store.read('own/object'))
     assert stored.body == {'n': 2}, stored
+
+
+def _return_from_copy(platform, copy):
+    """Let the store come back from a copy after a later change."""
+    platform.put(_KIND, 't1', {'service': 'lost'})
+    platform.restore(copy)
+
+
+@when('the store comes back from a copy while the targets are listed')
+def when_returned(context):
+    copy = context.platform.copy()
+    _watch_after_list(
+        context, lambda: _return_from_copy(context.platform, copy), 0.2
+    )
+
+
+@when(
+    'the store comes back from a copy while the targets are listed, and gives '
+    'out revisions again'
+)
+def when_returned_and_changed(context):
+    copy = context.platform.copy()
+
+    def change():
+        _return_from_copy(context.platform, copy)
+        for number in range(3):
+            context.platform.put(_KIND, 't3', {'service': f's{number}'})
+
+    _watch_after_list(context, change, 0.2)
+
+
+@when('the store comes back from a copy while the targets are watched')
+def when_returned_during_watch(context):
+    copy = context.platform.copy()
+
+    async def use(store):
+        listed = await store.list_kind(_KIND)
+        asyncio.get_running_loop().call_later(
+            0.1, _return_from_copy, context.platform, copy
+        )
+        # The first watch ends with the change that is lost.
+        try:
+            await store.watch_kind(_KIND, listed.revision, 1)
+            return await store.watch_kind(_KIND, listed.revision, 0.2)
+        except StoreError as error:
+            return error
+
+    context.result = _run_with_store(context, use)
+
+
+@when(
+    'an object is read while the targets of a returned store are watched for '
+    '{seconds:d} seconds'
+)
+def when_read_during_watch(context, seconds):
+    copy = context.platform.copy()
+
+    async def use(store):
+        listed = await store.list_kind(_KIND)
+
+        async def read_later():
+            await asyncio.sleep(0.1)
+            context.platform.restore(copy)
+            await store.read('own/object')
+
+        reading = asyncio.ensure_future(read_later())
+        began_at = time.monotonic()
+        try:
+            return await store.watch_kind(_KIND, listed.revision, seconds)
+        except StoreError as error:
+            return error
+        finally:
+            context.watch_seconds = time.monotonic() - began_at
+            await reading
+
+    context.result = _run_with_store(context, use)
+
+
+@then('it ended within {seconds:g} seconds')
+def then_ended_within(context, seconds):
+    assert context.watch_seconds < seconds, context.watch_seconds
+
+
+@when('the store comes back from a copy between two pages of a list')
+def when_returned_between_pages(context):
+    copy = context.platform.copy()
+
+    async def use(store):
+        answer = context.platform.handle
+        pages = []
+
+        async def handle(request):
+            pages.append(request.path)
+            if len(pages) == 2:
+                _return_from_copy(context.platform, copy)
+            await answer(request)
+
+        context.handle = handle
+        try:
+            return await store.list_kind(_KIND)
+        except StoreError as error:
+            return error
+
+    context.result = _run_with_store(context, use)
+
+
+@then('the list ends with {outcome}')
+def then_list_ends(context, outcome):
+    assert type(context.result).__name__ == outcome, context.result
+
+
+@when('an object is read before and after the store comes back from a copy')
+def when_read_twice(context):
+    copy = context.platform.copy()
+    for number in range(5):
+        context.platform.put('own', 'object', {'n': number})
+
+    async def use(store):
+        before = await store.read('own/object')
+        _return_from_copy(context.platform, copy)
+        after = await store.read('own/object')
+        written = await store.update('own/object', {'n': 9}, after.version)
+        return before.version, after.version, written.version
+
+    context.versions = _run_with_store(context, use)
+
+
+@then('the second version is higher, and the next higher still')
+def then_rising(context):
+    assert context.versions == tuple(sorted(set(context.versions)))
+
+
+@when(
+    'the store comes back from a copy and gives out the expected revision again'
+)
+def when_revision_given_again(context):
+    copy = context.platform.copy()
+    context.platform.put('own', 'object', {'n': 2})
+
+    async def use(store):
+        before = await store.read('own/object')
+        context.platform.restore(copy)
+        context.platform.put('own', 'object', {'n': 3})
+        await store.read('own/other')
+        outcomes = []
+        for call in (
+            store.update('own/object', {'n': 4}, before.version),
+            store.delete('own/object', before.version),
+        ):
+            try:
+                await call
+                outcomes.append('success')
+            except StoreError as error:
+                outcomes.append(type(error).__name__)
+        return outcomes
+
+    context.outcomes = _run_with_store(context, use)
+
+
+@then('an update and a delete end with {outcome}')
+def then_both(context, outcome):
+    assert context.outcomes == [outcome, outcome], context.outcomes
+    assert context.platform.find('own', 'object').spec == {'n': 3}
+
+
+@when('a read gets an answer that states the era {era}')
+def when_era_stated(context, era):
+    async def use(store):
+        await store.read('own/object')
+        context.platform.faults.stated_eras = [era]
+        outcomes = []
+        for _ in range(2):
+            try:
+                await store.read('own/object')
+                outcomes.append('success')
+            except StoreError as error:
+                outcomes.append(type(error).__name__)
+        return (*outcomes, store.era)
+
+    context.outcome, *context.next_outcome = _run_with_store(context, use)
+
+
+@then('the next call ends with {outcome} in era {era:d}')
+def then_next(context, outcome, era):
+    assert context.next_outcome == [outcome, era], context.next_outcome
--- a/tools/standins/objects.py
+++ b/tools/standins/objects.py
@@ -2,7 +2,8 @@
 
 Objects are identified by kind and name, and each has a revision. Lists are
 paginated, and a watch is a long poll for changes after a revision. Faults are
-injected through :class:`StoreFaults`.
+injected through :class:`StoreFaults`. The store can come back from an older
+copy of itself.
 """
 
 import json
@@ -33,6 +34,8 @@
         seconds until it is applied.
     :param throttled_calls: number of calls to reject with 429.
     :param unavailable_kinds: kinds whose calls are rejected with 503.
+    :param stated_eras: eras that the next answers state instead of the true
+        one.
     """
 
     outage: bool = False
@@ -41,6 +44,7 @@
     write_delays: list[float] = field(default_factory=list)
     throttled_calls: int = 0
     unavailable_kinds: set[str] = field(default_factory=set)
+    stated_eras: list[str] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -67,17 +71,27 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """Copy of a store from which it may come back."""
+
+    rev: int
+    objects_by_kind: dict[str, dict[str, StoredObject]]
+
+
 @dataclass(slots=True)
 class ObjectStoreServer:
     """Object store, kept in memory only.
 
     :param rev: revision of the latest change.
+    :param era: rises with each return from a copy; stated in all answers.
     :param oldest_revision: watches from an earlier revision fail with 410.
     :param calls: number of calls by HTTP method.
     :param changed: set and replaced at each change.
     """
 
     rev: int = 7
+    era: int = 3
     oldest_revision: int = 0
     faults: StoreFaults = field(default_factory=StoreFaults)
     calls: Counter[str] = field(default_factory=Counter)
@@ -106,6 +120,24 @@
         self.rev += 1
         self.oldest_revision = self.rev
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can come back."""
+        return StoreCopy(
+            self.rev,
+            {kind: dict(found) for kind, found in self.objects_by_kind.items()},
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: later writes are lost, revisions go back.
+
+        :param copy: an earlier copy of this store.
+        """
+        self.rev = copy.rev
+        self.objects_by_kind = {
+            kind: dict(found) for kind, found in copy.objects_by_kind.items()
+        }
+        self.era += 1
+
     def find(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or ``None`` if it is missing or removed.
 
@@ -124,17 +156,24 @@
         if self.faults.silent:
             await request.wait_for_disconnect()
         elif self.faults.outage:
-            await request.send_json({}, _UNAVAILABLE)
+            await self._answer(request, {}, _UNAVAILABLE)
         elif self.faults.throttled_calls:
             self.faults.throttled_calls -= 1
-            await request.send_json({}, 429)
+            await self._answer(request, {}, 429)
         else:
             kind, _, name = request.path.removeprefix(_PREFIX).partition('/')
             if kind in self.faults.unavailable_kinds:
-                await request.send_json({}, _UNAVAILABLE)
+                await self._answer(request, {}, _UNAVAILABLE)
                 return
             await self._dispatch(request, kind, name)
 
+    async def _answer(
+        self, request: Request, document: object, status: int = 200
+    ) -> None:
+        stated = self.faults.stated_eras
+        era = stated.pop(0) if stated else str(self.era)
+        await request.send_json(document, status, {'Store-Era': era})
+
     async def _dispatch(
         self,
         request: Request,
@@ -150,7 +189,7 @@
         if name:
             stored = self.find(kind, name)
             document = stored.document() if stored else {}
-            await request.send_json(document, 200 if stored else 404)
+            await self._answer(request, document, 200 if stored else 404)
         elif request.query_parameter('watch'):
             await self._watch(request, kind)
         else:
@@ -164,18 +203,19 @@
             for name, stored in sorted(objects.items())
             if not stored.removed and name > after
         ]
-        await request.send_json(
+        await self._answer(
+            request,
             {
                 'items': matching[:_PAGE_SIZE],
                 'has_more': len(matching) > _PAGE_SIZE,
                 'as_of': self.rev,
-            }
+            },
         )
 
     async def _watch(self, request: Request, kind: str) -> None:
         since = int(request.query_parameter('watch'))
-        if since < self.oldest_revision:
-            await request.send_json({}, _GONE)
+        if not self.oldest_revision <= since <= self.rev:
+            await self._answer(request, {}, _GONE)
             return
         with anyio.move_on_after(
             int(request.query_parameter('wait_ms')) / _MS_PER_SECOND
@@ -186,7 +226,7 @@
             await request.wait_for_disconnect()
             return
         events = self._events(kind, since)
-        await request.send_json({'events': events, 'as_of': self.rev})
+        await self._answer(request, {'events': events, 'as_of': self.rev})
 
     def _events(self, kind: str, since: int) -> list[dict[str, Any]]:
         objects = self.objects_by_kind.get(kind, {}).values()
@@ -217,7 +257,7 @@
             self.faults.lost_responses -= 1
             await request.wait_for_disconnect()
             return
-        await request.send_json(stored.document() if stored else {}, status)
+        await self._answer(request, stored.document() if stored else {}, status)
 
     def _apply_write(
         self,
--- a/tools/standins/web.py
+++ b/tools/standins/web.py
@@ -92,13 +92,19 @@
             }
         )
 
-    async def send_json(self, document: object, status: int = 200) -> None:
+    async def send_json(
+        self,
+        document: object,
+        status: int = 200,
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
         """Send a complete JSON response.
 
         :param document: JSON-serialisable.
         :param status: HTTP status.
+        :param headers: additional headers.
         """
-        await self.start(status)
+        await self.start(status, headers=headers)
         await self.write(json.dumps(document).encode(), more=False)
 
     async def wait_for_disconnect(self) -> None:
