Hold the lease by memory when the store comes back from a copy

A copy may name an earlier holder, or hold no lease at all, though an instance holds it by a write that is lost.

Seen in the state machine on a virtual clock, on (with the new arguments added): two holders that may order at the same time in 9 of 11 new rows, 0.1 to 0.2 s after the return, since the instance that the copy names acquires it without waiting; and the fencing number 1 given out again to an instance without memory, which engines would refuse for good.

Now a holder whose lease has not expired writes it again with its number; all others wait for one duration after they see the return, also the one that the copy names, and a holder whose lease has expired, since another may have acquired it. The object carries the era in which it was written, so that an instance without memory knows a copy; if the object is missing, it waits unless the system starts for the first time (the platform's field bootstrap). Fencing numbers start above the era's first version, so they rise even without memory. A write that lands after a return that was not seen yet extends the lease of its holder only.

Ruled out: letting an expired holder go on because the copy names it: it would save the wait of one lease, and be wrong when it was frozen or cut off before.

Tests: lease.feature 38 passed; of the 11 new rows 10 failed before. After each tick it is also checked that no holder has a lower number than an earlier one. zone, takeover, adapter and mesh features: 107 passed.

--- a/cowsliprack/coordination/lease.py
+++ b/cowsliprack/coordination/lease.py
@@ -19,6 +19,7 @@
     WriteLease,
 )
 from cowsliprack.protocol.store import StoredObject, new_attempt_id
+from cowsliprack.state.store_version import era_of
 
 # The holder stops this much earlier, which allows for clock drift.
 _CLOCK_MARGIN_SECONDS = 0.1
@@ -54,6 +55,7 @@
 
     :param duration: seconds for which a renewal is valid.
     :param rng: randomness of the backoff.
+    :param first_start: whether no process of the system ran before.
     """
 
     def __init__(
@@ -63,11 +65,13 @@
         address: str,
         duration: float,
         rng: random.Random,
+        *,
+        first_start: bool = True,
     ) -> None:
         """Start as a follower that has not read the lease."""
         self.key = f'leases/{zone}'
         self.fencing = 0
-        self.observation = LeaseObservation(duration)
+        self.observation = LeaseObservation(duration, first_start=first_start)
         # Time until which an earlier holder may act as degraded leader.
         self.predecessor_until = NEVER
         self.predecessor: LeaseBody | None = None
@@ -77,6 +81,8 @@
         self._rng = rng
         # ``None`` while the lease is not held.
         self._deadline: float | None = None
+        # Era of the store in which this instance last wrote the lease.
+        self._written_era = 0
         self._store_unavailable = False
         self._failures = 0
         self._next_action_at = NEVER
@@ -211,16 +217,22 @@
             return None
         return self._write(self.fencing, now, releases=True)
 
-    def on_read(self, stored: StoredObject | None, now: float) -> None:
+    def on_read(
+        self, stored: StoredObject | None, now: float, era: int = 0
+    ) -> None:
         """Process the result of a read.
 
         :param stored: the object; ``None`` if it does not exist.
         :param now: own clock after the answer arrived.
+        :param era: of the store.
         """
         self._on_answer()
         self._must_read = False
         self._next_action_at = now
-        body = self.observation.observe_object(stored, now)
+        body = self.observation.observe_object(stored, now, era)
+        if self._deadline is not None and era > self._written_era:
+            self._hold_after_return(body, now)
+            return
         sent_at = self._sent_at_by_attempt.get(body.attempt)
         self._sent_at_by_attempt.clear()
         if sent_at is not None:
@@ -238,10 +250,17 @@
         """
         write = self._pending_action
         self._on_answer()
-        body = self.observation.observe_object(stored, now)
+        era = era_of(stored.version)
+        # The store came back between the last read and this write.
+        is_returned = self.observation.era not in {None, era}
+        is_held = self.role(now) is Role.leader
+        self._written_era = era
+        body = self.observation.observe_object(stored, now, era)
         self._sent_at_by_attempt.clear()
         if isinstance(write, WriteLease) and write.releases:
             self._releasing = False
+        elif is_returned and not is_held:
+            self._step_down()
         elif isinstance(write, WriteLease):
             self._extend_lease(body, write.sent_at)
             renewal = self._candidate.duration / RENEWALS_PER_DURATION
@@ -277,6 +296,20 @@
         self._failures = min(self._failures + 1, _MAX_BACKOFF_DOUBLINGS)
         self._next_action_at = now + self._rng.uniform(0, max_delay)
 
+    def _hold_after_return(self, body: LeaseBody, now: float) -> None:
+        """Decide by memory whether to hold the lease; the object is a copy.
+
+        The next action of a holder writes the lease again. Once its deadline
+        has passed, another instance may have acquired the lease by a write that
+        is lost, even if the copy still names this one.
+        """
+        self._sent_at_by_attempt.clear()
+        is_newest = self.fencing >= max(
+            body.fencing, self.observation.highest_fencing
+        )
+        if not is_newest or self.role(now) is not Role.leader:
+            self._deadline = None
+
     def _next_release_action(self, now: float) -> LeaseAction | None:
         """Return the next action of a release that is not completed."""
         if not self._releasing:
@@ -346,7 +379,8 @@
         releases: bool = False,
     ) -> WriteLease:
         remaining = max(0, self.predecessor_until - now)
-        body = self._candidate.body(fencing, remaining)
+        era = self.observation.era or 0
+        body = self._candidate.body(fencing, remaining, era)
         if releases:
             body.update(holder='', session='', address='')
         action = WriteLease(
--- a/cowsliprack/coordination/lease_record.py
+++ b/cowsliprack/coordination/lease_record.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from cowsliprack.protocol.store import StoredObject, new_attempt_id
+from cowsliprack.state.store_version import join_version
 
 # A renewal is due after a third of the duration, so that two may fail before
 # the lease expires.
@@ -29,6 +30,8 @@
     :param attempt: identifies the write.
     :param predecessor_seconds: time from the write for which an earlier
         holder may still act as degraded leader.
+    :param era: of the store when the object was written. It is lower than the
+        store's if the store has come back from a copy since.
     """
 
     holder: str = ''
@@ -38,6 +41,7 @@
     duration: float = 0
     attempt: str = ''
     predecessor_seconds: float = 0
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +84,7 @@
         duration=float(str(body.get('duration', 0))),
         attempt=str(body.get('attempt', '')),
         predecessor_seconds=float(str(body.get('predecessor_seconds', 0))),
+        era=int(str(body.get('era', 0))),
     )
 
 
@@ -100,11 +105,13 @@
         self,
         fencing: int,
         predecessor_seconds: float,
+        era: int,
     ) -> dict[str, object]:
         """Return the body of a new write attempt.
 
         :param fencing: number to hold the lease with.
         :param predecessor_seconds: as in ``LeaseBody``.
+        :param era: of the store.
         """
         return {
             'holder': self.instance_id,
@@ -114,6 +121,7 @@
             'duration': self.duration,
             'attempt': new_attempt_id(),
             'predecessor_seconds': predecessor_seconds,
+            'era': era,
         }
 
 
@@ -121,12 +129,19 @@
     """The lease object as last read, with the messages of its holder.
 
     :param duration: minimum seconds without a change before a takeover.
+    :param first_start: whether no process of the system ran before, so that a
+        missing object has never existed.
     """
 
-    def __init__(self, duration: float) -> None:
+    def __init__(self, duration: float, *, first_start: bool) -> None:
         """Start without any observation."""
         self.record: LeaseBody | None = None
         self.version: int | None = None
+        # Era of the store when it was last read; ``None`` before that.
+        self.era: int | None = None
+        self._first_start = first_start
+        # When the store was first seen to have come back from a copy.
+        self._returned_at = NEVER
         self.highest_fencing = 0
         self._duration = duration
         self._changed_at = NEVER
@@ -138,16 +153,21 @@
         self._announced_end = NEVER
 
     def observe_object(
-        self, stored: StoredObject | None, now: float
+        self, stored: StoredObject | None, now: float, era: int
     ) -> LeaseBody:
         """Record the object as read or written.
 
         :param stored: ``None`` if it does not exist.
         :param now: own clock after the answer arrived; being later than the
             read, it only makes this instance wait longer.
+        :param era: of the store.
         """
         body = parse_body(stored.body) if stored else LeaseBody()
         version = stored.version if stored else None
+        if self.era is None or era > self.era:
+            if self._is_return(body, era, exists=stored is not None):
+                self._returned_at = now
+            self.era = era
         if version != self.version or self.record is None:
             self._changed_at = now
         self.version = version
@@ -197,9 +217,11 @@
         """Return a fencing number above every earlier one.
 
         Versions are store-wide and only grow, so this holds even after the
-        object was deleted and created again.
+        object was deleted and created again, or lost with the store's last
+        writes.
         """
-        return max(self.highest_fencing, self.version or 0) + 1
+        least = join_version(self.era or 0, 0)
+        return max(self.highest_fencing, self.version or least) + 1
 
     def may_acquire(self, instance_id: str, now: float) -> bool:
         """Return whether the lease is free or its holder must have stopped.
@@ -211,6 +233,9 @@
         if self.record is None:
             return False
         is_fresh = now - self._read_at < self._read_interval()
+        if now - self._returned_at < self._takeover_delay():
+            # Another instance may hold the lease by a write that is lost.
+            return False
         if self.record.holder in {instance_id, ''}:
             return is_fresh
         if self.version == self._announced_version:
@@ -233,6 +258,12 @@
         expiry = self._changed_at + self._takeover_delay()
         return due if expiry <= self._read_at else min(due, expiry)
 
+    def _is_return(self, body: LeaseBody, era: int, *, exists: bool) -> bool:
+        """Return whether the store came back from a copy before this read."""
+        if self.era is not None:
+            return True
+        return body.era != era if exists else not self._first_start
+
     def _is_leader_alive(self, now: float) -> bool:
         return now - self._heartbeat_at < _HEARTBEAT_TIMEOUT_SECONDS
 
--- a/cowsliprack/state/gateway_settings.py
+++ b/cowsliprack/state/gateway_settings.py
@@ -13,6 +13,8 @@
     :param grace_seconds: time between SIGTERM and SIGKILL.
     :param lease_seconds: minimum time between the orders of two holders of the
         lease.
+    :param first_start: whether no process of the system ran before, so that
+        nothing can be lost from the store.
     :param max_relay_age_seconds: age of the last reading relayed by the leader
         above which an instance reads the configuration from the store itself.
     :param cores: processor time that the instance may use, in cores.
@@ -35,6 +37,7 @@
     grace_seconds: float
     freshness_seconds: float
     lease_seconds: float
+    first_start: bool
     retry_ratio: float
     retry_slack: float
     retry_window_seconds: float
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -103,6 +103,7 @@
                 region=settings.region,
                 address=self.sockets.address,
                 lease_seconds=settings.lease_seconds,
+                first_start=settings.first_start,
                 cores=settings.cores,
                 max_relay_age_seconds=settings.max_relay_age_seconds,
                 store=self.bindings.store,
--- a/cowsliprack/transport/lease_calls.py
+++ b/cowsliprack/transport/lease_calls.py
@@ -27,7 +27,8 @@
     """
     try:
         if isinstance(action, ReadLease):
-            lease.on_read(await store.read(action.key), clock())
+            stored = await store.read(action.key)
+            lease.on_read(stored, clock(), store.era)
         else:
             lease.on_written(await _write(store, action), clock())
     except StoreConflictError:
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -100,6 +100,7 @@
             context.address,
             context.lease_seconds,
             random.Random(),
+            first_start=context.first_start,
         )
 
     async def run(self) -> None:
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -61,6 +61,7 @@
 
     :param boot: random id of this run of the process.
     :param address: address at which other instances reach this one.
+    :param first_start: whether no process of the system ran before.
     :param cores: number of CPU cores that the instance may use.
     :param max_relay_age_seconds: age up to long state relayed relayed by the
         leader replaces a of the store.
@@ -78,6 +79,7 @@
     region: str
     address: str
     lease_seconds: float
+    first_start: bool
     cores: float
     max_relay_age_seconds: float
     store: ObjectStore
--- a/tests/coordination/lease.feature
+++ b/tests/coordination/lease.feature
@@ -2,7 +2,7 @@
   Guards against two instances that hold the lease of a zone at the same time,
   and against a fencing number that does not grow (P1, P14). After every tenth
   of a second the steps check that at most one instance may order targets that
-  ignore fencing.
+  ignore fencing, and that no holder has a lower number than an earlier one.
 
   Background:
     Given instances a and b that compete for a lease of 6 seconds
@@ -140,3 +140,59 @@
     And both run for 2.5 seconds in total
     And a has the fault "frozen" and b runs for 4.2 seconds
     Then b has the role follower
+
+  Scenario: A holder keeps its lease when the store comes back from a copy
+    Given a copy of the store
+    When both run for 5 seconds in total
+    And both run without the store for 2 seconds
+    And the store comes back from the copy
+    And both run for 20 seconds
+    Then a has the role leader
+    And the fencing number of a has not changed
+
+  Scenario Outline: A holder by a lost write keeps its lease, <copy>
+    Given <copy>
+    When a has the fault "frozen" and b runs for 9 seconds
+    And the store comes back from the copy
+    And <other>
+    And both run for 20 seconds
+    Then b has the role leader
+    And the fencing number of b is above the first one
+
+    Examples:
+      | copy                                | other                         |
+      | a copy of the store                 | both run for 1 seconds        |
+      | a copy of the store                 | a starts again without memory |
+      | a copy of the store without the lease | both run for 1 seconds      |
+      | a copy of the store without the lease | a starts again without memory |
+
+  Scenario Outline: An instance that starts after the return waits for an unknown holder, <copy>
+    Given <copy>
+    When a has the fault "frozen" and b runs for 9 seconds
+    And the store comes back from the copy
+    And a starts again without memory
+    And only a runs for <seconds> seconds
+    Then a has the role <role>
+
+    Examples:
+      | copy                                  | seconds | role     |
+      | a copy of the store                   | 5       | follower |
+      | a copy of the store                   | 9       | leader   |
+      | a copy of the store without the lease | 5       | follower |
+      | a copy of the store without the lease | 9       | leader   |
+
+  Scenario: Fencing numbers do not go back for an instance without memory
+    Given a copy of the store without the lease
+    And b is killed
+    When the store comes back from the copy
+    And a starts again without memory
+    And only a runs for 10 seconds
+    Then a has the role leader
+    And the fencing number of a is above the first one
+
+  Scenario: A holder whose lease has expired does not trust a copy that names it
+    Given a copy of the store
+    When a has the fault "frozen" and b runs for 9 seconds
+    And the store comes back from the copy
+    And only a runs for 3 seconds
+    Then a has the role follower
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -9,6 +9,7 @@
 from cowsliprack.coordination.lease import Lease
 from cowsliprack.coordination.lease_record import WriteLease
 from cowsliprack.protocol.store import StoredObject
+from cowsliprack.state.store_version import join_version
 
 _TICK_SECONDS = 0.1
 _SLOW_ANSWER_SECONDS = 7.0
@@ -23,6 +24,9 @@
         self.now = 100.0
         self.stored = None
         self.version = 0
+        self.era = 0
+        self.copy = None
+        self.highest_fencing = 0
         self.leases = {}
         self.write_faults = {}
         self.events = []
@@ -30,8 +34,10 @@
         for name in ('a', 'b'):
             self.join(name)
 
-    def join(self, name):
-        self.leases[name] = Lease('z', name, name, 6, random.Random(name))
+    def join(self, name, first_start=True):
+        self.leases[name] = Lease(
+            'z', name, name, 6, random.Random(name), first_start=first_start
+        )
         self.write_faults[name] = []
 
     def schedule(self, delay, action):
@@ -56,6 +62,10 @@
             if lease.may_order(self.now, checks_fencing=False)
         ]
         assert len(holders) <= 1, (holders, self.now)
+        for name in holders:
+            fencing = self.leases[name].fencing
+            assert fencing >= self.highest_fencing, (name, self.now)
+            self.highest_fencing = fencing
 
     def perform(self, name, action, slow, down):
         lease = self.leases[name]
@@ -80,15 +90,25 @@
     def apply(self, lease, action):
         if not isinstance(action, WriteLease):
             current = self.stored
-            return lambda: lease.on_read(current, self.now)
+            era = self.era
+            return lambda: lease.on_read(current, self.now, era)
         current_version = self.stored.version if self.stored else None
         if current_version != action.expected_version:
             return lambda: lease.on_conflict(self.now)
         self.version += 1
-        self.stored = StoredObject(_KEY, self.version, action.body)
+        version = join_version(self.era, self.version)
+        self.stored = StoredObject(_KEY, version, action.body)
         written = self.stored
         return lambda: lease.on_written(written, self.now)
 
+    def restore(self):
+        """Let the store come back from its copy in a new era."""
+        self.stored, self.version = self.copy
+        self.era += 1
+        if self.stored is not None:
+            version = join_version(self.era, self.version)
+            self.stored = StoredObject(_KEY, version, self.stored.body)
+
 
 @given('instances a and b that compete for a lease of 6 seconds')
 def given_simulation(context):
@@ -236,3 +256,40 @@
 @then('{name} expects its predecessor to act for at least {seconds:d} seconds')
 def then_at_least_seconds(context, name, seconds):
     assert _predecessor_seconds(context, name) >= seconds
+
+
+@given('a copy of the store')
+def given_copy(context):
+    simulation = context.simulation
+    simulation.copy = simulation.stored, simulation.version
+
+
+@given('a copy of the store without the lease')
+def given_empty_copy(context):
+    context.simulation.copy = None, 0
+
+
+@when('the store comes back from the copy')
+def when_store_returns(context):
+    context.simulation.restore()
+
+
+@when('both run without the store for {seconds:g} seconds')
+def when_store_down(context, seconds):
+    context.simulation.run(seconds, ['a', 'b'], down=['a', 'b'])
+
+
+@when('{name} starts again without memory')
+def when_restarted(context, name):
+    context.simulation.join(name, first_start=False)
+
+
+@when('only {name} runs for {seconds:g} seconds')
+def when_one_runs(context, name, seconds):
+    context.simulation.run(seconds, [name])
+
+
+@then('the fencing number of {name} is above the first one')
+def then_above_first(context, name):
+    fencing = context.simulation.leases[name].fencing
+    assert fencing > context.first_fencing, fencing
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -213,6 +213,7 @@
 
     def launch(self, name):
         """Start a gateway process."""
+        is_first = not self.processes
         if name not in self.ports:
             self.ports[name] = {
                 part: free_port()
@@ -226,6 +227,7 @@
             f'listen.ready=127.0.0.1:{ports["ready"]}\n'
             f'internal_ports={ports["peer"]},{ports["metrics"]}\n'
             f'platform.addr=127.0.0.1:{self.store_port}\n'
+            f'bootstrap={"true" if is_first else "false"}\n'
             'bounds.lease_ms=1500\nbounds.grace_s=6\nbounds.revoke_ms=3000\n'
             'bounds.quota_slack=2000\nbounds.budget_slack=50\n'
             'a line that is no setting\nunknown.field=7\n',
--- a/tests/support/object_store.py
+++ b/tests/support/object_store.py
@@ -11,6 +11,8 @@
         effect; ``down`` applies to all further calls.
     """
 
+    era = 0
+
     def __init__(self, faults=()):
         self.objects_by_key = {}
         self.faults = list(faults)
--- a/tests/support/zone_world.py
+++ b/tests/support/zone_world.py
@@ -148,6 +148,8 @@
 class StoreCalls(Calls):
     """``ObjectStore`` of one instance."""
 
+    era = 0
+
     async def read(self, key):
         return await self._call(key, lambda: self.world.objects.get(key))
 
