Take no copy of the store for a proof of the latest configuration

A request with a key needs a reading that shows that no newer configuration exists. Each reading counted as one, also of a store that had come back from a copy and lacked the configuration in force: a key that was taken away just before, unseen by an instance, would have gone on there.

Now, after a return, readings prove nothing until the store has the configuration in force again, and for two seconds, within which the platform states that lost entries are back; older proofs count as long as before. The configuration itself never goes back in a process, as its version only rises. An older version of a stale writer within one history ends no proofs (row of freshness.feature).

--- a/cowsliprack/coordination/freshness.py
+++ b/cowsliprack/coordination/freshness.py
@@ -9,6 +9,10 @@
 
 # Tolerance for clock rounding between instances, seconds.
 _MARGIN_SECONDS = 0.3
+# Time after the store's return from a copy within which the operator and the
+# targets have written again what is lost, as the platform states for entries of
+# targets that lapsed while the store was away.
+REWRITE_SECONDS = 2.0
 NEVER = float('-inf')
 
 
@@ -71,3 +75,50 @@
         :param now: seconds.
         """
         return self.age(now) < self.limit - _MARGIN_SECONDS
+
+
+@dataclass(slots=True)
+class StoreHistory:
+    """Whether readings of the store show every confirmed configuration.
+
+    A store that has come back from a copy lacks the newest ones until the
+    operator has written them again.
+
+    :param era: of the last reading.
+    :param returned_at: when a reading first showed a return, seconds.
+    :param generation: of the configuration in the store.
+    :param is_complete: whether it shows every confirmed configuration.
+    """
+
+    era: int | None = None
+    returned_at: float = NEVER
+    generation: int = 0
+    is_complete: bool = True
+
+    def record(self, era: int, generation: int | None, now: float) -> None:
+        """Record a reading.
+
+        :param era: era of the store.
+        :param generation: of the configuration that was read; ``None`` if it
+            has not changed.
+        :param now: seconds.
+        """
+        if self.era is not None and era > self.era:
+            self.returned_at = now
+            self.is_complete = False
+        self.era = era
+        if generation is not None:
+            self.generation = generation
+
+    def proves_latest(self, in_force: int, asked_at: float) -> bool:
+        """Return whether a reading proves which configuration is the latest.
+
+        Once a store is complete, it stays so until its next return.
+
+        :param in_force: generation of the configuration in force.
+        :param asked_at: time before the reading was requested, seconds.
+        """
+        if not self.is_complete:
+            is_settled = asked_at >= self.returned_at + REWRITE_SECONDS
+            self.is_complete = is_settled and self.generation >= in_force
+        return self.is_complete
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -10,7 +10,7 @@
 import structlog
 
 from cowsliprack.coordination.fleet_view import FleetView
-from cowsliprack.coordination.freshness import Freshness
+from cowsliprack.coordination.freshness import Freshness, StoreHistory
 from cowsliprack.coordination.retry import RetryLimit, apply_retry_limit
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.coordination.token_credit import TokenCredit
@@ -20,7 +20,7 @@
 from cowsliprack.protocol.platform_bindings import PlatformBindings
 from cowsliprack.state.gateway_settings import GatewaySettings
 from cowsliprack.state.routing_table import RoutingTable
-from cowsliprack.state.store_version import revision_of
+from cowsliprack.state.store_version import era_of, revision_of
 from cowsliprack.transport.clock import read_clock
 from cowsliprack.transport.exchange import (
     Exchange,
@@ -75,6 +75,7 @@
     waiting_requests: WaitingRequests = field(default_factory=WaitingRequests)
     _configuration_copy: bytes = b''
     _listeners_closed: anyio.Event = field(default_factory=anyio.Event)
+    history: StoreHistory = field(default_factory=StoreHistory)
     freshness: Freshness = field(init=False)
     region: Region = field(init=False)
     target_feed: TargetFeed = field(init=False)
@@ -299,9 +300,12 @@
         self, reading: KindReading, whole: bool
     ) -> None:
         spec = reading.specs_by_name.get(self.bindings.configuration_name)
+        generation = 0 if whole else None
         if spec is not None:
-            self._apply_configuration(spec, reading.revision)
-        self.freshness.prove(reading.asked_at)
+            generation = self._apply_configuration(spec, reading.revision)
+        self.history.record(era_of(reading.revision), generation, read_clock())
+        if self.history.proves_latest(self.table.generation, reading.asked_at):
+            self.freshness.prove(reading.asked_at)
 
     def _apply_configuration_copy(self, copy: bytes) -> None:
         self._apply_configuration(msgspec.json.decode(copy), None)
@@ -309,14 +313,22 @@
     def _copy_configuration(self) -> bytes:
         return self._configuration_copy
 
-    def _apply_configuration(self, spec: Any, revision: int | None) -> None:
+    def _apply_configuration(
+        self, spec: Any, revision: int | None
+    ) -> int | None:
+        """Apply a configuration unless it is malformed or not newer.
+
+        :param spec: the configuration as stored.
+        :param revision: at which it was read; ``None`` if the leader sent it.
+        :returns: its generation; ``None`` if it is malformed.
+        """
         try:
             table = self.bindings.decode_table(spec)
         except ConfigurationError as error:
             _log.error('configuration_malformed', problems=error.problems)
-            return
+            return None
         if table.generation <= self.table.generation:
-            return
+            return table.generation
         self.table = table
         self._configuration_copy = msgspec.json.encode(spec)
         _log.info(
@@ -332,6 +344,7 @@
         )
         self.region.configuration_changed()
         self.waiting_requests.notify_all()
+        return table.generation
 
     def _on_targets_changed(self) -> None:
         self.region.registry_changed()
--- a/tests/coordination/freshness.feature
+++ b/tests/coordination/freshness.feature
@@ -34,3 +34,33 @@
     When the configuration was confirmed as the latest 1 seconds ago
     And the configuration was confirmed as the latest 30 seconds ago
     Then a request with the key is allowed: yes
+
+  Scenario Outline: A reading after the store came back from a copy is <answer>, <seconds> s later
+    Given a store in era 3 with generation 7, which is in force
+    When it comes back in era 4 with generation <read>
+    Then a reading <seconds> seconds later proves the latest configuration: <answer>
+
+    Examples:
+      | read | seconds | answer |
+      | 7    | 0.5     | no     |
+      | 7    | 1.9     | no     |
+      | 7    | 2       | yes    |
+      | 5    | 2       | no     |
+      | 5    | 900     | no     |
+      | 0    | 900     | no     |
+      | 9    | 2       | yes    |
+
+  Scenario: The operator writes the lost configuration again
+    Given a store in era 3 with generation 7, which is in force
+    When it comes back in era 4 with generation 5
+    And generation 7 is read 3 seconds later
+    Then a reading 3 seconds later proves the latest configuration: yes
+
+  Scenario: A store that has not come back proves it at once
+    Given a store in era 3 with generation 7, which is in force
+    Then a reading 0 seconds later proves the latest configuration: yes
+
+  Scenario: An older configuration of a stale writer does not end the proofs
+    Given a store in era 3 with generation 7, which is in force
+    When generation 5 is read 3 seconds later
+    Then a reading 3 seconds later proves the latest configuration: yes
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -93,6 +93,13 @@
     Then the connection gets 503 within 4 seconds
     And a route open to all is still served by g1
 
+  Scenario: Keys are rejected while a returned store lacks the configuration in force
+    Given a caller with an open connection to g1
+    When the store comes back from a copy without the configuration in force
+    Then the connection gets 503 within 5 seconds
+    When the operator writes the configuration in force again
+    Then the connection gets 200 within 5 seconds
+
   Scenario: The active configuration never reverts to an older one
     When the operator moves a route and then the store's history is compacted
     Then the new route is served by both gateways within 2 seconds
--- a/tests/steps/freshness_steps.py
+++ b/tests/steps/freshness_steps.py
@@ -2,7 +2,11 @@
 
 from behave import given, then, when
 
-from cowsliprack.coordination.freshness import Freshness, RelayedReading
+from cowsliprack.coordination.freshness import (
+    Freshness,
+    RelayedReading,
+    StoreHistory,
+)
 from cowsliprack.platform.settings import parse_platform_settings
 from tests.support.platform_settings import SETTINGS
 
@@ -45,3 +49,32 @@
 @then('a request with the key is allowed: {answer}')
 def then_allowed(context, answer):
     assert context.freshness.is_fresh(_NOW) == (answer == 'yes')
+
+
+@given(
+    'a store in era {era:d} with generation {generation:d}, which is in force'
+)
+def given_history(context, era, generation):
+    context.history = StoreHistory()
+    context.history.record(era, generation, _NOW)
+    context.in_force = generation
+
+
+@when('it comes back in era {era:d} with generation {generation:d}')
+def when_returned(context, era, generation):
+    context.history.record(era, generation, _NOW)
+    context.in_force = max(context.in_force, generation)
+
+
+@when('generation {generation:d} is read {seconds:d} seconds later')
+def when_read_again(context, generation, seconds):
+    context.history.record(context.history.era, generation, _NOW + seconds)
+
+
+@then(
+    'a reading {seconds:g} seconds later proves the latest configuration: '
+    '{answer}'
+)
+def then_proves(context, seconds, answer):
+    actual = context.history.proves_latest(context.in_force, _NOW + seconds)
+    assert actual == (answer == 'yes')
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -403,6 +403,24 @@
     time.sleep(1)
 
 
+@when('the store comes back from a copy without the configuration in force')
+def when_configuration_lost(context):
+    cluster = context.cluster
+    copy = cluster.call(cluster.platform.copy)
+    cluster.configure(version=5)
+    for gateway in ('g1', 'g2'):
+        _wait_until(
+            lambda gateway=gateway: '"generation":5' in cluster.log(gateway),
+            3,
+        )
+    cluster.call(cluster.platform.restore, copy)
+
+
+@when('the operator writes the configuration in force again')
+def when_written_again(context):
+    context.cluster.configure(version=5)
+
+
 @when('the entry of service s1 is deleted')
 def when_deleted(context):
     cluster = context.cluster
