Offer no target that has left because a copy of the store lists it

When the store comes back from a copy made before, the target is listed as ready again until its entry is written again or has expired, and got requests.

Now an instance doubts each listed target that it saw draining or removed in the same run: it gets no requests until its entry is written again after the return, or for six seconds, since a live target whose entry does not change otherwise is never written again. Log lines targets_doubted and targets_trusted.

Ruled out: making the draining of a run final, which would leave those removed without draining, and lose for good those that lapsed while cut off.

--- a/cowsliprack/state/target_registry.py
+++ b/cowsliprack/state/target_registry.py
@@ -77,6 +77,10 @@
     :param change_revision_by_id: revision at which the fields that routing
         reads last changed; the models of an engine are not among them.
     :param removal_revision_by_id: revision at which a target was removed.
+    :param left_born_by_id: start of the process of targets that were seen
+        draining or were removed.
+    :param doubted_ids: targets that left, but are listed again since the store
+        came back from a copy; they get no requests.
     """
 
     revision: int = -1
@@ -84,6 +88,8 @@
     ids_by_service: dict[str, set[str]] = field(default_factory=dict)
     change_revision_by_id: dict[str, int] = field(default_factory=dict)
     removal_revision_by_id: dict[str, int] = field(default_factory=dict)
+    left_born_by_id: dict[str, int] = field(default_factory=dict)
+    doubted_ids: set[str] = field(default_factory=set)
 
     def replace(
         self,
@@ -97,6 +103,10 @@
         """
         if revision < self.revision:
             return False
+        if self.revision >= 0 and not self.shares_history(revision):
+            self.doubted_ids = {
+                record.target_id for record in records if self._has_left(record)
+            }
         self.revision = revision
         listed = {record.target_id for record in records}
         for target_id in set(self.records_by_id) - listed:
@@ -128,6 +138,8 @@
         for target_id in removed:
             self._remove(target_id)
         for record in changed:
+            # Its entry was written after the return of the store.
+            self.doubted_ids.discard(record.target_id)
             self._put(record)
         return True
 
@@ -167,6 +179,7 @@
             record
             for record in self.service_targets(service)
             if record.state is TargetState.ready
+            and record.target_id not in self.doubted_ids
         ]
 
     def service_targets(self, service: str) -> list[TargetRecord]:
@@ -179,6 +192,9 @@
             for target_id in sorted(self.ids_by_service.get(service, ()))
         ]
 
+    def _has_left(self, record: TargetRecord) -> bool:
+        return self.left_born_by_id.get(record.target_id) == record.born
+
     def _put(self, record: TargetRecord) -> None:
         target_id = record.target_id
         known = self.records_by_id.get(target_id)
@@ -189,11 +205,16 @@
             self.change_revision_by_id[target_id] = self.revision
         self._drop(target_id)
         self.removal_revision_by_id.pop(target_id, None)
+        if record.state is TargetState.draining:
+            self.left_born_by_id[target_id] = record.born
         self.records_by_id[target_id] = record
         self.ids_by_service.setdefault(record.service, set()).add(target_id)
 
     def _remove(self, target_id: str) -> None:
-        if target_id in self.records_by_id:
+        record = self.records_by_id.get(target_id)
+        if record is not None:
+            self.left_born_by_id[target_id] = record.born
+            self.doubted_ids.discard(target_id)
             self._drop(target_id)
             self.change_revision_by_id.pop(target_id, None)
             self.removal_revision_by_id[target_id] = self.revision
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -95,6 +95,7 @@
             self.fleet.registry,
             self.bindings.decode_target,
             self._on_targets_changed,
+            read_clock,
         )
         self.region = Region(
             RegionContext(
--- a/cowsliprack/transport/target_feed.py
+++ b/cowsliprack/transport/target_feed.py
@@ -12,23 +12,31 @@
 from cowsliprack.state.target_registry import TargetRecord, TargetRegistry
 from cowsliprack.transport.store_reader import KindReading
 
+# Time for which a target that has left gets no requests although a copy of the
+# store lists it. Its entry is removed again within two seconds of the return or
+# after three heartbeats of 1.2 seconds without a sign of life.
+_DOUBT_SECONDS = 6.0
 # Most targets named in one log line.
 _MAX_LOGGED_TARGETS = 20
 
 _log = structlog.get_logger('cowsliprack.targets')
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class TargetFeed:
     """Keeps the registry of targets of one instance up to date.
 
     :param decode: decodes a stored target; ``None`` if the object names none.
     :param changed: called after each accepted change.
+    :param clock: seconds; must keep running during suspension.
     """
 
     registry: TargetRegistry
     decode: Callable[[str, Any], TargetRecord | None]
     changed: Callable[[], None]
+    clock: Callable[[], float]
+    _era: int | None = None
+    _era_seen_at: float = 0
 
     def apply_reading(self, reading: KindReading, whole: bool) -> None:
         """Apply what was read from the store.
@@ -49,6 +57,7 @@
             is_newer = registry.replace(changed, reading.revision)
         else:
             is_newer = registry.apply(changed, removed, reading.revision)
+        self._end_doubts()
         if is_newer and (whole or changed or removed):
             states = [
                 f'{record.target_id} {record.state.value}' for record in changed
@@ -60,7 +69,9 @@
 
         :param view: view of the leader.
         """
-        if not apply_relayed_targets(self.registry, view):
+        is_newer = apply_relayed_targets(self.registry, view)
+        self._end_doubts()
+        if not is_newer:
             return
         if view.targets or view.targets_gone:
             states = [
@@ -68,6 +79,29 @@
             ]
             self._report('leader', states, list(view.targets_gone))
 
+    def _end_doubts(self) -> None:
+        """Offer doubted targets again that are listed for long enough."""
+        registry = self.registry
+        now = self.clock()
+        era = era_of(registry.revision)
+        if era != self._era:
+            self._era = era
+            self._era_seen_at = now
+            if registry.doubted_ids:
+                _log.warning(
+                    'targets_doubted',
+                    era=era,
+                    targets=sorted(registry.doubted_ids)[:_MAX_LOGGED_TARGETS],
+                )
+        if registry.doubted_ids and now - self._era_seen_at >= _DOUBT_SECONDS:
+            _log.info(
+                'targets_trusted',
+                era=era,
+                targets=sorted(registry.doubted_ids)[:_MAX_LOGGED_TARGETS],
+            )
+            registry.doubted_ids.clear()
+            self.changed()
+
     def _report(
         self, source: str, states: list[str], removed: list[str]
     ) -> None:
--- a/tests/state/target_registry.feature
+++ b/tests/state/target_registry.feature
@@ -34,3 +34,28 @@
       | newer in the old history | a, b and d | 150     | 1   |
       | without any list         | none      | -1       | 0   |
       | as new as the leader     | b and c   | 30       | 2   |
+
+  Scenario Outline: A target that left is not offered again by a copy that lists it: <left>
+    Given targets a and b as of revision 145 of era 1
+    When target a <left> as of revision 146 of era 1
+    And targets a and b are listed as of revision 30 of era 2
+    Then the targets that get requests are b
+    When targets a and b are listed as of revision 31 of era 2
+    Then the targets that get requests are b
+
+    Examples:
+      | left       |
+      | drains     |
+      | is removed |
+
+  Scenario Outline: A target that had left is offered again: <why>
+    Given targets a and b as of revision 145 of era 1
+    When target a drains as of revision 146 of era 1
+    And <event>
+    Then the targets that get requests are a and b
+
+    Examples:
+      | why                        | event                                                                |
+      | it is another process      | a new process of a and target b are listed as of revision 30 of era 2 |
+      | it writes its entry again  | targets a and b are listed in era 2 and a writes its entry again     |
+      | it stays listed            | targets a and b are listed in era 2 for 6 seconds                    |
--- a/tests/steps/target_registry_steps.py
+++ b/tests/steps/target_registry_steps.py
@@ -1,5 +1,7 @@
 """Steps for the registry of targets."""
 
+from dataclasses import dataclass
+
 from behave import given, then, when
 
 from cowsliprack.coordination.relayed_targets import (
@@ -8,10 +10,18 @@
 )
 from cowsliprack.protocol.gateway_messages import LeaderView
 from cowsliprack.state.store_version import join_version
-from cowsliprack.state.target_registry import TargetRegistry
+from cowsliprack.state.target_registry import TargetRegistry, TargetState
+from cowsliprack.transport.target_feed import TargetFeed
 from tests.support.routed import target_record
 
 
+@dataclass
+class _Reading:
+    specs_by_name: dict
+    revision: int
+    asked_at: float = 0
+
+
 def _records(names):
     ids = names.replace(' and', ',').replace(' ', '').split(',')
     return [target_record(name) for name in ids if name != 'none']
@@ -64,6 +74,12 @@
     assert set(registry.records_by_id) == expected, registry.records_by_id
 
 
+def _check_ready(registry, names):
+    expected = [record.target_id for record in _records(names)]
+    ready = [record.target_id for record in registry.ready_targets('s')]
+    assert ready == expected, ready
+
+
 @then('the targets are {names}')
 def then_targets(context, names):
     _check(context.registry, names)
@@ -75,3 +91,50 @@
     view = LeaderView(1, 1, 'leader', '', **changes)
     apply_relayed_targets(context.member, view)
     _check(context.member, names)
+
+
+@when('target {name} drains as of revision {revision:d} of era {era:d}')
+def when_drains(context, name, revision, era):
+    record = target_record(name, state=TargetState.draining)
+    context.registry.apply([record], [], join_version(era, revision))
+
+
+@when('target {name} is removed as of revision {revision:d} of era {era:d}')
+def when_removed(context, name, revision, era):
+    context.registry.apply([], [name], join_version(era, revision))
+
+
+@when(
+    'a new process of a and target b are listed as of revision 30 of era 2',
+)
+def when_new_process(context):
+    records = [target_record('a', born=2), target_record('b')]
+    context.registry.replace(records, join_version(2, 30))
+
+
+@when('targets a and b are listed in era 2 and a writes its entry again')
+def when_written_again(context):
+    context.registry.replace(_records('a and b'), join_version(2, 30))
+    context.registry.apply(_records('a'), [], join_version(2, 31))
+
+
+@when('targets a and b are listed in era 2 for {seconds:d} seconds')
+def when_listed_for(context, seconds):
+    now = [0.0]
+    feed = TargetFeed(
+        context.registry,
+        lambda name, _spec: target_record(name),
+        lambda: None,
+        lambda: now[0],
+    )
+    specs = {'a': {'service': 's'}, 'b': {'service': 's'}}
+    for now[0] in (0.0, seconds / 2):
+        feed.apply_reading(_Reading(specs, join_version(2, 30)), True)
+        _check_ready(context.registry, 'b')
+    now[0] = float(seconds)
+    feed.apply_reading(_Reading({}, join_version(2, 30)), False)
+
+
+@then('the targets that get requests are {names}')
+def then_ready(context, names):
+    _check_ready(context.registry, names)
