Write the fleet's secret again when the store has lost it

If the store comes back from a copy made before, the next instance that starts would create another one and hear no instance: its requests for models that are not loaded got 503.

A secret that differs is logged. A counter cowsliprack_store_returns_total counts the returns that an instance has seen.

--- a/cowsliprack/coordination/freshness.py
+++ b/cowsliprack/coordination/freshness.py
@@ -95,20 +95,22 @@
     generation: int = 0
     is_complete: bool = True
 
-    def record(self, era: int, generation: int | None, now: float) -> None:
-        """Record a reading.
+    def record(self, era: int, generation: int | None, now: float) -> bool:
+        """Record a reading; return whether it shows a return of the store.
 
         :param era: era of the store.
         :param generation: of the configuration that was read; ``None`` if it
             has not changed.
         :param now: seconds.
         """
-        if self.era is not None and era > self.era:
+        is_return = self.era is not None and era > self.era
+        if is_return:
             self.returned_at = now
             self.is_complete = False
         self.era = era
         if generation is not None:
             self.generation = generation
+        return is_return
 
     def proves_latest(self, in_force: int, asked_at: float) -> bool:
         """Return whether a reading proves which configuration is the latest.
--- a/cowsliprack/metrics.py
+++ b/cowsliprack/metrics.py
@@ -27,6 +27,10 @@
             'cowsliprack_retries_total',
             'Requests sent again to another target.',
         )
+        self.store_returns = self._counter(
+            'cowsliprack_store_returns_total',
+            'Times that the store was seen to come back from an older copy.',
+        )
         self.queued = self._gauge(
             'cowsliprack_queued_requests',
             'Requests waiting in the queue.',
--- a/cowsliprack/platform/run.py
+++ b/cowsliprack/platform/run.py
@@ -6,7 +6,9 @@
 
 import anyio
 import httpx
+import structlog
 
+from cowsliprack.coordination.freshness import REWRITE_SECONDS
 from cowsliprack.exceptions import StoreConflictError, StoreError
 from cowsliprack.logs import configure_logs
 from cowsliprack.platform.engine_client import EngineClient
@@ -36,6 +38,8 @@
 # Timeout of a watch of the targets.
 _TARGETS_WATCH_SECONDS = 2.5
 
+_log = structlog.get_logger('cowsliprack.platform')
+
 
 def serve(log_level: str = 'info', metrics_port: int = 0) -> None:
     """Run one instance on the platform until it receives SIGTERM.
@@ -72,21 +76,70 @@
         targets_watch_seconds=_TARGETS_WATCH_SECONDS,
         ready_path='/-/readyz',
         read_fleet_secret=read_fleet_secret,
+        restore_fleet_secret=restore_fleet_secret,
     )
 
 
-async def read_fleet_secret(store: ObjectStore) -> str:
+async def read_fleet_secret(store: ObjectStore, first_start: bool) -> str:
     """Return the fleet's secret; the first instance creates it.
 
     :param store: store that holds the secret.
+    :param first_start: whether no process of the system ran before.
     """
+    if not first_start:
+        # If the store lost it, an instance that knows it writes it again.
+        await _wait_for_secret(store)
     while True:
         try:
             return await _read_or_create_secret(store)
         except StoreConflictError:
             continue
         except StoreError:
-            await anyio.sleep(_SECRET_RETRY_SECONDS * (1 + random.random()))
+            await _pause()
+
+
+async def restore_fleet_secret(store: ObjectStore, secret: str) -> None:
+    """Write the fleet's secret again if the store has lost it.
+
+    :param store: store that has come back from an older copy.
+    :param secret: the secret that this instance uses.
+    """
+    is_restored = await _try_restore(store, secret)
+    while not is_restored:
+        await _pause()
+        is_restored = await _try_restore(store, secret)
+
+
+async def _pause() -> None:
+    await anyio.sleep(_SECRET_RETRY_SECONDS * (1 + random.random()))
+
+
+async def _try_restore(store: ObjectStore, secret: str) -> bool:
+    """Return whether the store holds a secret; write it if there is none."""
+    try:
+        stored = await store.read(_SECRET_KEY)
+        if stored is None:
+            await store.create(_SECRET_KEY, {_SECRET_FIELD: secret})
+    except StoreError as error:
+        _log.info('fleet_secret_not_restored', reason=str(error))
+        return False
+    if stored is None:
+        _log.warning('fleet_secret_written_again')
+    elif stored.body.get(_SECRET_FIELD) != secret:
+        _log.error('fleet_secret_differs', version=stored.version)
+    return True
+
+
+async def _wait_for_secret(store: ObjectStore) -> None:
+    """Wait until the secret exists, at most for ``REWRITE_SECONDS``."""
+    with anyio.move_on_after(REWRITE_SECONDS):
+        while True:
+            try:
+                if await store.read(_SECRET_KEY) is not None:
+                    return
+            except StoreError as error:
+                _log.info('fleet_secret_not_read', reason=str(error))
+            await anyio.sleep(_SECRET_RETRY_SECONDS)
 
 
 async def _read_or_create_secret(store: ObjectStore) -> str:
--- a/cowsliprack/protocol/platform_bindings.py
+++ b/cowsliprack/protocol/platform_bindings.py
@@ -29,6 +29,7 @@
     :param targets_watch_seconds: longest wait of one watch request.
     :param ready_path: path of the load balancer's readiness check.
     :param read_fleet_secret: reads the secret that instances share.
+    :param restore_fleet_secret: writes it again if the store has lost it.
     """
 
     dialect: Dialect
@@ -42,4 +43,5 @@
     configuration_watch_seconds: float
     targets_watch_seconds: float
     ready_path: str
-    read_fleet_secret: Callable[[ObjectStore], Awaitable[str]]
+    read_fleet_secret: Callable[[ObjectStore, bool], Awaitable[str]]
+    restore_fleet_secret: Callable[[ObjectStore, str], Awaitable[None]]
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -61,6 +61,7 @@
     :param settings: settings of the instance.
     :param bindings: implementation of the platform's protocols.
     :param client: HTTP client for requests to targets.
+    :param fleet_secret: secret that the instances share.
     :param draining: whether a graceful shutdown is in progress.
     """
 
@@ -68,12 +69,14 @@
     bindings: PlatformBindings
     client: httpx.AsyncClient
     sockets: PeerSockets
+    fleet_secret: str
     metrics: Metrics = field(default_factory=Metrics)
     table: RoutingTable = field(default_factory=RoutingTable)
     draining: bool = False
     fleet: FleetView = field(default_factory=FleetView)
     waiting_requests: WaitingRequests = field(default_factory=WaitingRequests)
     _configuration_copy: bytes = b''
+    _store_returned: anyio.Event = field(default_factory=anyio.Event)
     _listeners_closed: anyio.Event = field(default_factory=anyio.Event)
     history: StoreHistory = field(default_factory=StoreHistory)
     freshness: Freshness = field(init=False)
@@ -210,6 +213,7 @@
                     _TARGET_BATCH_SECONDS,
                 ).run,
             )
+            tasks.start_soon(self._restore_secret)
             tasks.start_soon(self.region.run)
             tasks.start_soon(self._serve_http, stopped)
             _log.info(
@@ -304,10 +308,21 @@
         generation = 0 if whole else None
         if spec is not None:
             generation = self._apply_configuration(spec, reading.revision)
-        self.history.record(era_of(reading.revision), generation, read_clock())
+        era = era_of(reading.revision)
+        if self.history.record(era, generation, read_clock()):
+            self.metrics.store_returns.inc({})
+            self._store_returned.set()
         if self.history.proves_latest(self.table.generation, reading.asked_at):
             self.freshness.prove(reading.asked_at)
 
+    async def _restore_secret(self) -> None:
+        """Write the fleet's secret again when the store may have lost it."""
+        store = self.bindings.store
+        while True:
+            await self._store_returned.wait()
+            self._store_returned = anyio.Event()
+            await self.bindings.restore_fleet_secret(store, self.fleet_secret)
+
     def _apply_configuration_copy(self, copy: bytes) -> None:
         self._apply_configuration(msgspec.json.decode(copy), None)
 
--- a/cowsliprack/transport/gateway_run.py
+++ b/cowsliprack/transport/gateway_run.py
@@ -25,7 +25,9 @@
     """
     client = httpx.AsyncClient(transport=CheckedTransport(), trust_env=False)
     bindings = make_bindings(settings, client)
-    secret = await bindings.read_fleet_secret(bindings.store)
+    secret = await bindings.read_fleet_secret(
+        bindings.store, settings.first_start
+    )
     async with AsyncExitStack() as stack:
         stack.push_async_callback(client.aclose)
         sockets = PeerSockets(
@@ -35,4 +37,4 @@
             secret,
         )
         await stack.enter_async_context(sockets)
-        await Gateway(settings, bindings, client, sockets).run()
+        await Gateway(settings, bindings, client, sockets, secret).run()
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -100,6 +100,12 @@
     When the operator writes the configuration in force again
     Then the connection gets 200 within 5 seconds
 
+  Scenario: A gateway that starts after the store lost the secret learns it from the store
+    When the store comes back from a copy without the secret of the fleet
+    And g2 is restarted
+    And a caller asks g2 for a stream of m3 at /report/
+    Then the response is 200 with 5 events in order
+
   Scenario: The active configuration never reverts to an older one
     When the operator moves a route and then the store's history is compacted
     Then the new route is served by both gateways within 2 seconds
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -416,6 +416,20 @@
     cluster.call(cluster.platform.restore, copy)
 
 
+@when('the store comes back from a copy without the secret of the fleet')
+def when_secret_lost(context):
+    cluster = context.cluster
+    cluster.kill('g2')
+    copy = cluster.call(cluster.platform.copy)
+    copy.objects_by_kind['cowsliprack-fleet'].clear()
+    cluster.call(cluster.platform.restore, copy)
+
+
+@when('g2 is restarted')
+def when_restarted(context):
+    context.cluster.start('g2')
+
+
 @when('the operator writes the configuration in force again')
 def when_written_again(context):
     context.cluster.configure(version=5)
