State era and revision as two fields between instances

The version of a member's and a leader's list of targets was sent as one number since the order by era. An instance of an earlier build compares it with its own revisions: under a new leader it would take the number, and then ignore each list that it reads itself or gets from a leader of its build; a new instance would ignore an earlier leader. Found by reading; nothing was seen.

Now messages state both; one without an era, of an earlier build, counts as of the era that is known here.

target_registry.feature 15 passed (2 new rows with an instance that states no era), region_state.feature 8 passed.

--- a/cowsliprack/coordination/relayed_targets.py
+++ b/cowsliprack/coordination/relayed_targets.py
@@ -2,7 +2,12 @@
 
 from typing import Any
 
-from cowsliprack.protocol.gateway_messages import LeaderView, TargetView
+from cowsliprack.protocol.gateway_messages import (
+    LeaderView,
+    MemberReport,
+    TargetView,
+)
+from cowsliprack.state.store_version import era_of, join_version, revision_of
 from cowsliprack.state.target_registry import (
     TargetRecord,
     TargetRegistry,
@@ -10,16 +15,35 @@
 )
 
 
-def registry_changes(registry: TargetRegistry, revision: int) -> dict[str, Any]:
+def stated_version(registry: TargetRegistry) -> dict[str, int]:
+    """Return the fields of a message that state the version of the targets.
+
+    Era and revision are two fields, as instances of earlier builds know the
+    revision only.
+
+    :param registry: targets of the sender.
+    """
+    if registry.revision < 0:
+        return {'registry_revision': -1, 'registry_era': -1}
+    return {
+        'registry_revision': revision_of(registry.revision),
+        'registry_era': era_of(registry.revision),
+    }
+
+
+def registry_changes(
+    registry: TargetRegistry, report: MemberReport
+) -> dict[str, Any]:
     """Return the fields of a view that bring a member's targets up to date.
 
     :param registry: targets as the leader has read them.
-    :param revision: revision of the member's targets.
+    :param report: of the member.
     """
+    revision = _read_version(registry, report)
     is_complete = not registry.shares_history(revision)
     changed, gone = registry.changes_since(-1 if is_complete else revision)
     return {
-        'registry_revision': registry.revision,
+        **stated_version(registry),
         'targets': tuple(_target_view(record) for record in changed),
         'targets_gone': () if is_complete else tuple(gone),
         'targets_complete': is_complete,
@@ -33,11 +57,26 @@
     :param view: sent by the leader.
     """
     relayed = [_relayed_record(target) for target in view.targets]
+    version = _read_version(registry, view)
     if view.targets_complete:
-        return registry.replace(relayed, view.registry_revision)
-    return registry.apply(
-        relayed, list(view.targets_gone), view.registry_revision
-    )
+        return registry.replace(relayed, version)
+    return registry.apply(relayed, list(view.targets_gone), version)
+
+
+def _read_version(
+    registry: TargetRegistry, message: MemberReport | LeaderView
+) -> int:
+    """Return the version that a message states.
+
+    One that states no era is of an earlier build and counts as of the era that
+    is known here.
+    """
+    if message.registry_revision < 0:
+        return -1
+    era = message.registry_era
+    if era < 0:
+        era = max(era_of(registry.revision), 0)
+    return join_version(era, message.registry_revision)
 
 
 def _target_view(record: TargetRecord) -> TargetView:
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -82,7 +82,8 @@
     :param view_sequence: sequence of the last view that the sender applied.
     :param view_fencing: fencing number of the leader that sent this view.
     :param generation: generation of the sender's configuration.
-    :param registry_revision: revision of the sender's target list.
+    :param registry_revision: revision of the sender's target list; -1 for none.
+    :param registry_era: era of that revision; -1 if the sender states none.
     :param started_by_model: number of requests for each model since the
         process started.
     :param leaving: whether the instance is shutting down.
@@ -101,6 +102,7 @@
     engines: tuple[EngineUse, ...] = ()
     generation: int = 0
     registry_revision: int = -1
+    registry_era: int = -1
     started_by_model: dict[str, int] = {}
     leaving: bool = False
     limits: tuple[LimitUse, ...] = ()
@@ -163,7 +165,8 @@
     :param proof_offset: seconds from ``stamp`` to the time at which the
         leader's configuration was confirmed as the latest; negative for an
         earlier time, ``None`` without a stamp.
-    :param registry_revision: revision of the leader's target list.
+    :param registry_revision: revision of the leader's target list; -1 for none.
+    :param registry_era: era of that revision; -1 if the leader states none.
     :param targets: targets added or changed since the member's revision.
     :param targets_gone: ids of the targets removed since then.
     :param targets_complete: whether ``targets`` lists all targets, because the
@@ -187,6 +190,7 @@
     generation: int = 0
     proof_offset: float | None = None
     registry_revision: int = -1
+    registry_era: int = -1
     targets: tuple[TargetView, ...] = ()
     targets_gone: tuple[str, ...] = ()
     targets_complete: bool = False
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -10,6 +10,7 @@
 from cowsliprack.coordination.lease import Lease
 from cowsliprack.coordination.lease_record import LeaseAction
 from cowsliprack.coordination.notice_exchange import MemberNotices
+from cowsliprack.coordination.relayed_targets import stated_version
 from cowsliprack.exceptions import CowsliprackError
 from cowsliprack.protocol.gateway_messages import (
     ConfigurationCopy,
@@ -375,7 +376,7 @@
             waiting=context.waiting_requests.group_summaries(now),
             engines=context.target_selector.engine_uses(now),
             generation=context.table().generation,
-            registry_revision=context.fleet.registry.revision,
+            **stated_version(context.fleet.registry),
             started_by_model=dict(context.target_selector.started_by_model),
             leaving=self.leaving,
             limits=context.target_selector.limits.uses(now),
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -281,9 +281,7 @@
             self.state.view_for(member, now),
             generation=table.generation,
             proof_offset=proof_offset,
-            **registry_changes(
-                context.fleet.registry, report.registry_revision
-            ),
+            **registry_changes(context.fleet.registry, report),
             lease_version=self._lease.observation.version,
             lease_left=left,
         )
--- a/tests/state/target_registry.feature
+++ b/tests/state/target_registry.feature
@@ -59,3 +59,15 @@
       | it is another process      | a new process of a and target b are listed as of revision 30 of era 2 |
       | it writes its entry again  | targets a and b are listed in era 2 and a writes its entry again     |
       | it stays listed            | targets a and b are listed in era 2 for 6 seconds                    |
+
+  Scenario: Instances of an earlier build state no era
+    Given a leader that knew targets a and b as of revision 29 of era 2
+    And a member that knew targets a and b as of revision 29 of era 2
+    When the leader sees target c change as of revision 30 of era 2
+    Then the member has the targets a, b and c after the view of a leader that states no era
+
+  Scenario: A member of an earlier build gets changes
+    Given a leader that knew targets a and b as of revision 29 of era 2
+    And a member that knew targets a and b as of revision 29 of era 2
+    When the leader sees target c change as of revision 30 of era 2
+    Then a member that states no era has the targets a, b and c
--- a/tests/steps/target_registry_steps.py
+++ b/tests/steps/target_registry_steps.py
@@ -7,8 +7,9 @@
 from cowsliprack.coordination.relayed_targets import (
     apply_relayed_targets,
     registry_changes,
+    stated_version,
 )
-from cowsliprack.protocol.gateway_messages import LeaderView
+from cowsliprack.protocol.gateway_messages import LeaderView, MemberReport
 from cowsliprack.state.store_version import join_version
 from cowsliprack.state.target_registry import TargetRegistry, TargetState
 from cowsliprack.transport.target_feed import TargetFeed
@@ -64,6 +65,10 @@
     context.registry.replace(_records(names), join_version(era, revision))
 
 
+@when(
+    'the leader sees target {name} change as of revision {revision:d} of era '
+    '{era:d}'
+)
 @when('target {name} changes as of revision {revision:d} of era {era:d}')
 def when_changed(context, name, revision, era):
     context.registry.apply(_records(name), [], join_version(era, revision))
@@ -87,9 +92,36 @@
 
 @then("the member has the targets {names} after the leader's view")
 def then_member(context, names):
-    changes = registry_changes(context.registry, context.member.revision)
+    _relay(context)
+    _check(context.member, names)
+
+
+def _relay(context, leader_states=True, member_states=True):
+    """Apply a leader's view; an earlier build states no era."""
+    stated = stated_version(context.member)
+    if not member_states:
+        stated.pop('registry_era')
+    report = MemberReport('m', '', 'z', 'boot', 1, 0.0, 0, 0, **stated)
+    changes = registry_changes(context.registry, report)
+    if not leader_states:
+        changes.pop('registry_era')
+        changes.pop('targets_complete')
     view = LeaderView(1, 1, 'leader', '', **changes)
-    apply_relayed_targets(context.member, view)
+    return apply_relayed_targets(context.member, view)
+
+
+@then(
+    'the member has the targets {names} after the view of a leader that states '
+    'no era'
+)
+def then_member_of_earlier_leader(context, names):
+    assert _relay(context, leader_states=False)
+    _check(context.member, names)
+
+
+@then('a member that states no era has the targets {names}')
+def then_earlier_member(context, names):
+    assert _relay(context, member_states=False)
     _check(context.member, names)
 
 
