--- a/tests/coordination/lease.feature
+++ b/tests/coordination/lease.feature
@@ -196,3 +196,41 @@
     And the store comes back from the copy
     And only a runs for 3 seconds
     Then a has the role follower
+
+  Scenario: The store comes back twice in a row
+    Given a copy of the store
+    When both run for 5 seconds in total
+    And the store comes back from the copy
+    And both run for 1 seconds in total
+    And the store comes back from the copy
+    And both run for 20 seconds
+    Then a has the role leader
+    And the fencing number of a has not changed
+
+  Scenario: The holder by a lost write sees the return later than others
+    Given a copy of the store
+    When a has the fault "frozen" and b runs for 9 seconds
+    And the store comes back from the copy
+    And only a runs for 3 seconds
+    And both run for 20 seconds
+    Then b has the role leader
+    And the fencing number of b is above the first one
+
+  Scenario Outline: The store comes back while a leader is succeeded, <seconds> s after it froze
+    Given a copy of the store
+    When a has the fault "frozen" and b runs for <seconds> seconds
+    And the store comes back from the copy
+    And a has the fault "frozen" and b runs for 8 seconds
+    Then b has the role leader
+    When both run for 10 seconds
+    Then b has the role leader
+    And the fencing number of b is above that of a
+
+    Examples:
+      | seconds |
+      | 4       |
+      | 5.8     |
+      | 6       |
+      | 6.2     |
+      | 6.4     |
+      | 8       |
