Take no proof from a leader that lacks the configuration in force

A leader that has started after the store came back knows only the copy, whose readings prove nothing about what a member has in force or has missed.

Now a relayed reading is a proof only if leader and member have the same generation; a member without one reads the store itself, as with an outdated reading.

--- a/cowsliprack/coordination/freshness.py
+++ b/cowsliprack/coordination/freshness.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass
 
+from cowsliprack.protocol.gateway_messages import LeaderView
+
 # Tolerance for clock rounding between instances, seconds.
 _MARGIN_SECONDS = 0.3
 # Time after the store's return from a copy within which the operator and the
@@ -16,6 +18,21 @@
 NEVER = float('-inf')
 
 
+def relayed_proof(view: LeaderView, generation: int) -> float | None:
+    """Return when a leader's reading showed the configuration in force here.
+
+    A leader that lacks this configuration may have read a store that came back
+    from an older copy.
+
+    :param view: of the leader.
+    :param generation: of the configuration in force.
+    :returns: seconds on the local clock; ``None`` if it is no proof.
+    """
+    if view.proof_offset is None or view.generation != generation:
+        return None
+    return view.stamp + view.proof_offset
+
+
 @dataclass(slots=True)
 class RelayedReading:
     """Age of the last store reading that the leader relayed to this instance.
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -6,7 +6,7 @@
 import anyio
 import structlog
 
-from cowsliprack.coordination.freshness import RelayedReading
+from cowsliprack.coordination.freshness import RelayedReading, relayed_proof
 from cowsliprack.coordination.lease import Lease
 from cowsliprack.coordination.lease_record import LeaseAction
 from cowsliprack.coordination.notice_exchange import MemberNotices
@@ -334,9 +334,8 @@
         if view.instance_id == context.instance_id:
             return
         context.apply_relayed_targets(view)
-        is_current = context.table().generation >= view.generation
-        if view.proof_offset is not None and is_current:
-            proved_at = view.stamp + view.proof_offset
+        proved_at = relayed_proof(view, context.table().generation)
+        if proved_at is not None:
             context.freshness.prove(proved_at)
             self._relayed.prove(proved_at)
 
--- a/tests/coordination/freshness.feature
+++ b/tests/coordination/freshness.feature
@@ -64,3 +64,14 @@
     Given a store in era 3 with generation 7, which is in force
     When generation 5 is read 3 seconds later
     Then a reading 3 seconds later proves the latest configuration: yes
+
+  Scenario Outline: A relayed reading of a leader with generation <generation> is a proof: <answer>
+    Given a store in era 3 with generation 7, which is in force
+    When a leader with generation <generation> relays a reading
+    Then the relayed reading proves the latest configuration: <answer>
+
+    Examples:
+      | generation | answer |
+      | 7          | yes    |
+      | 5          | no     |
+      | 8          | no     |
--- a/tests/steps/freshness_steps.py
+++ b/tests/steps/freshness_steps.py
@@ -6,8 +6,10 @@
     Freshness,
     RelayedReading,
     StoreHistory,
+    relayed_proof,
 )
 from cowsliprack.platform.settings import parse_platform_settings
+from cowsliprack.protocol.gateway_messages import LeaderView
 from tests.support.platform_settings import SETTINGS
 
 _NOW = 1000.0
@@ -78,3 +80,17 @@
 def then_proves(context, seconds, answer):
     actual = context.history.proves_latest(context.in_force, _NOW + seconds)
     assert actual == (answer == 'yes')
+
+
+@when('a leader with generation {generation:d} relays a reading')
+def when_relayed(context, generation):
+    view = LeaderView(
+        1, 1, 'leader', '', stamp=_NOW, generation=generation, proof_offset=-0.5
+    )
+    context.proved_at = relayed_proof(view, context.in_force)
+
+
+@then('the relayed reading proves the latest configuration: {answer}')
+def then_relayed_proof(context, answer):
+    expected = _NOW - 0.5 if answer == 'yes' else None
+    assert context.proved_at == expected, context.proved_at
