Hold a lease that was acquired by a write without an answer in a later era

Found in the last read of the change of the lease: the era of the last own write was noted for answered writes only. A holder whose writes got no answers, and were found by reading, took its next read after a lapse for one after a return and stepped down; another term with another number followed. It only cost a change of the leader.

Test: lease.feature 47 passed; the new row failed before (two numbers).

A garbled sentence in a docstring of region_term is mended too.

--- a/cowsliprack/coordination/lease.py
+++ b/cowsliprack/coordination/lease.py
@@ -236,6 +236,7 @@
         sent_at = self._sent_at_by_attempt.get(body.attempt)
         self._sent_at_by_attempt.clear()
         if sent_at is not None:
+            self._written_era = era
             self._extend_lease(body, sent_at)
             return
         is_own = body.session == self._candidate.session
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -63,8 +63,8 @@
     :param address: address at which other instances reach this one.
     :param first_start: whether no process of the system ran before.
     :param cores: number of CPU cores that the instance may use.
-    :param max_relay_age_seconds: age up to long state relayed relayed by the
-        leader replaces a of the store.
+    :param max_relay_age_seconds: age up to which state relayed by the leader
+        replaces a reading of the store.
     :param poison: counts crashes against requests and prompt parts.
     :param table: returns the active routing table.
     :param configuration_copy: returns the active configuration as stored.
--- a/tests/coordination/lease.feature
+++ b/tests/coordination/lease.feature
@@ -234,3 +234,14 @@
       | 6.2     |
       | 6.4     |
       | 8       |
+
+  Scenario: A lease acquired by a write without an answer is held in a later era
+    Given a copy of the store
+    And the next 60 write of b is unanswered
+    When the store comes back from the copy
+    And a has the fault "frozen" and b runs for 16 seconds
+    Then b has the role leader
+    When both run without the store for 8 seconds
+    And both run for 3 seconds
+    Then b has the role leader
+    And b has held the lease with one number
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -27,6 +27,7 @@
         self.era = 0
         self.copy = None
         self.highest_fencing = 0
+        self.fencing_numbers = {'a': set(), 'b': set()}
         self.leases = {}
         self.write_faults = {}
         self.events = []
@@ -66,6 +67,7 @@
             fencing = self.leases[name].fencing
             assert fencing >= self.highest_fencing, (name, self.now)
             self.highest_fencing = fencing
+            self.fencing_numbers.setdefault(name, set()).add(fencing)
 
     def perform(self, name, action, slow, down):
         lease = self.leases[name]
@@ -293,3 +295,8 @@
 def then_above_first(context, name):
     fencing = context.simulation.leases[name].fencing
     assert fencing > context.first_fencing, fencing
+
+
+@then('b has held the lease with one number')
+def then_one_number(context):
+    assert len(context.simulation.fencing_numbers['b']) == 1
