Reserve the ports of test gateways across test runs

Cause: free_port chose a random port that was free at that moment; only the process that chose it knew of it until the gateway had bound it.

--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -26,26 +26,28 @@
 _READY_TIMEOUT_SECONDS = 15.0
 # Time for which a crashed target has no process.
 RESTART_SECONDS = 0.4
-_used_ports = set()
+# UDP sockets that reserve the TCP ports of the same number.
+_reservations = []
 
 
 def free_port():
-    """Return a port that is free and has not been returned before.
+    """Return a TCP port that is free and that no other test run returns.
 
     The range lies below the ephemeral ports, which outgoing connections could
-    occupy before the gateway has started. No port is returned twice, since a
-    gateway may not have bound it yet.
+    occupy before the gateway has started. A gateway may not have bound its port
+    yet when another run looks for one, so the UDP port of the same number is
+    held until this process ends.
     """
     while True:
         port = random.randrange(15000, 32000)
-        if port in _used_ports:
-            continue
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
+            reservation.bind(('127.0.0.1', port))
             with socket.create_server(('127.0.0.1', port)):
-                _used_ports.add(port)
+                _reservations.append(reservation)
                 return port
         except OSError:
-            continue
+            reservation.close()
 
 
 def configuration(version=1, keys=(KEY,), rate=100000, prefix='/chat/'):
