--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -10,6 +10,7 @@
 
 from behave import given, then, when
 
+from cowsliprack.coordination.freshness import REWRITE_SECONDS
 from cowsliprack.platform.wire import (
     EngineReport,
     HeldModel,
@@ -377,6 +378,11 @@
     time.sleep(0.5)
 
 
+def _lookup(context, gateway):
+    _, headers = _headers()
+    return _request(context, gateway, 'GET', '/stock/1', headers)[0]
+
+
 def _write_registrations(cluster):
     for engine in cluster.engines.values():
         cluster.call(engine.register)
@@ -400,7 +406,10 @@
         lambda: any('store_regained' in cluster.log(g) for g in ('g1', 'g2')),
         5,
     )
-    time.sleep(1)
+    # Older proofs of the configuration expire until readings count again.
+    time.sleep(REWRITE_SECONDS + 1)
+    for gateway in ('g1', 'g2'):
+        _wait_until(lambda gateway=gateway: _lookup(context, gateway) == 200, 6)
 
 
 @when('the store comes back from a copy without the configuration in force')
