Take an empty field bootstrap for no first start

The field is read since the lease and the secret wait after a return of the store. Only "true" counts now. adapter.feature: 4 new rows, the one with the empty field failed before.

--- a/cowsliprack/platform/settings.py
+++ b/cowsliprack/platform/settings.py
@@ -45,8 +45,8 @@
         default=10,
     )
     budget_slack: float = msgspec.field(name='bounds.budget_slack', default=0)
-    # True only when the whole system starts for the first time.
-    bootstrap: bool = False
+    # "true" only when the whole system starts for the first time.
+    bootstrap: str = ''
     # Share of one core that the instance may use; the core is ``cores`` times
     # as fast as a standard one.
     cpu_share: float = msgspec.field(name='limits.cpu_share', default=1)
@@ -103,7 +103,7 @@
             grace_seconds=fields.grace_s,
             freshness_seconds=fields.revoke_ms / _MS,
             lease_seconds=fields.lease_ms / _MS,
-            first_start=fields.bootstrap,
+            first_start=fields.bootstrap == 'true',
             retry_ratio=fields.budget_ratio,
             retry_slack=fields.budget_slack,
             retry_window_seconds=fields.budget_window_s,
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -77,3 +77,14 @@
       | no version             |
       | a route without a host |
       | a service as a number  |
+
+  Scenario Outline: The first start of the system is stated: <line>
+    Given the line "<line>" in a settings file
+    Then it is the first start of the system: <answer>
+
+    Examples:
+      | line            | answer |
+      | bootstrap=true  | yes    |
+      | bootstrap=false | no     |
+      | bootstrap=      | no     |
+      | other=1         | no     |
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -140,3 +140,13 @@
     named = stated_limit([(b'Server-Limit', text.encode())])
     assert str(named) == rate, named
     assert stated_limit([]) is None
+
+
+@given('the line "{line}" in a settings file')
+def given_line(context, line):
+    context.settings = parse_platform_settings(f'{SETTINGS}{line}\n')
+
+
+@then('it is the first start of the system: {answer}')
+def then_first_start(context, answer):
+    assert context.settings.first_start == (answer == 'yes')
