Count readings again when they are answered after the rewriting

A watch of the configuration that was asked for within two seconds of the store's return and answered later counted as one without proof, so that requests with a key were refused for up to half a second longer than needed. Its answer shows the store as of its end. freshness.feature 21 passed.

--- a/cowsliprack/coordination/freshness.py
+++ b/cowsliprack/coordination/freshness.py
@@ -129,15 +129,15 @@
             self.generation = generation
         return is_return
 
-    def proves_latest(self, in_force: int, asked_at: float) -> bool:
+    def proves_latest(self, in_force: int, now: float) -> bool:
         """Return whether a reading proves which configuration is the latest.
 
         Once a store is complete, it stays so until its next return.
 
         :param in_force: generation of the configuration in force.
-        :param asked_at: time before the reading was requested, seconds.
+        :param now: time at which the reading was answered, seconds.
         """
         if not self.is_complete:
-            is_settled = asked_at >= self.returned_at + REWRITE_SECONDS
+            is_settled = now >= self.returned_at + REWRITE_SECONDS
             self.is_complete = is_settled and self.generation >= in_force
         return self.is_complete
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -308,11 +308,11 @@
         generation = 0 if whole else None
         if spec is not None:
             generation = self._apply_configuration(spec, reading.revision)
-        era = era_of(reading.revision)
-        if self.history.record(era, generation, read_clock()):
+        now = read_clock()
+        if self.history.record(era_of(reading.revision), generation, now):
             self.metrics.store_returns.inc({})
             self._store_returned.set()
-        if self.history.proves_latest(self.table.generation, reading.asked_at):
+        if self.history.proves_latest(self.table.generation, now):
             self.freshness.prove(reading.asked_at)
 
     async def _restore_secret(self) -> None:
