Name targets that left and are listed by a copy stale

Wording of the last changes: stale_ids for doubted_ids, log lines targets_stale and targets_not_stale, store_history in the gateway, and the lease's rule in the usual terms. No behaviour changes. target_registry and lease features: 62 passed.

--- a/cowsliprack/coordination/lease.py
+++ b/cowsliprack/coordination/lease.py
@@ -231,7 +231,7 @@
         self._next_action_at = now
         body = self.observation.observe_object(stored, now, era)
         if self._deadline is not None and era > self._written_era:
-            self._hold_after_return(body, now)
+            self._keep_after_return(body, now)
             return
         sent_at = self._sent_at_by_attempt.get(body.attempt)
         self._sent_at_by_attempt.clear()
@@ -297,10 +297,11 @@
         self._failures = min(self._failures + 1, _MAX_BACKOFF_DOUBLINGS)
         self._next_action_at = now + self._rng.uniform(0, max_delay)
 
-    def _hold_after_return(self, body: LeaseBody, now: float) -> None:
-        """Decide by memory whether to hold the lease; the object is a copy.
+    def _keep_after_return(self, body: LeaseBody, now: float) -> None:
+        """Decide from local state whether to keep the lease after a return.
 
-        The next action of a holder writes the lease again. Once its deadline
+        The object is of an older copy, and the next action of a holder writes
+        it again. Once its deadline
         has passed, another instance may have acquired the lease by a write that
         is lost, even if the copy still names this one.
         """
--- a/cowsliprack/state/target_registry.py
+++ b/cowsliprack/state/target_registry.py
@@ -79,8 +79,8 @@
     :param removal_revision_by_id: revision at which a target was removed.
     :param left_born_by_id: start of the process of targets that were seen
         draining or were removed.
-    :param doubted_ids: targets that left, but are listed again since the store
-        came back from a copy; they get no requests.
+    :param stale_ids: targets that left, but are listed by the copy from which
+        the store came back; they get no requests.
     """
 
     revision: int = -1
@@ -89,7 +89,7 @@
     change_revision_by_id: dict[str, int] = field(default_factory=dict)
     removal_revision_by_id: dict[str, int] = field(default_factory=dict)
     left_born_by_id: dict[str, int] = field(default_factory=dict)
-    doubted_ids: set[str] = field(default_factory=set)
+    stale_ids: set[str] = field(default_factory=set)
 
     def replace(
         self,
@@ -104,7 +104,7 @@
         if revision < self.revision:
             return False
         if self.revision >= 0 and not self.shares_history(revision):
-            self.doubted_ids = {
+            self.stale_ids = {
                 record.target_id for record in records if self._has_left(record)
             }
         self.revision = revision
@@ -139,7 +139,7 @@
             self._remove(target_id)
         for record in changed:
             # Its entry was written after the return of the store.
-            self.doubted_ids.discard(record.target_id)
+            self.stale_ids.discard(record.target_id)
             self._put(record)
         return True
 
@@ -179,7 +179,7 @@
             record
             for record in self.service_targets(service)
             if record.state is TargetState.ready
-            and record.target_id not in self.doubted_ids
+            and record.target_id not in self.stale_ids
         ]
 
     def service_targets(self, service: str) -> list[TargetRecord]:
@@ -214,7 +214,7 @@
         record = self.records_by_id.get(target_id)
         if record is not None:
             self.left_born_by_id[target_id] = record.born
-            self.doubted_ids.discard(target_id)
+            self.stale_ids.discard(target_id)
             self._drop(target_id)
             self.change_revision_by_id.pop(target_id, None)
             self.removal_revision_by_id[target_id] = self.revision
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -78,7 +78,7 @@
     _configuration_copy: bytes = b''
     _store_returned: anyio.Event = field(default_factory=anyio.Event)
     _listeners_closed: anyio.Event = field(default_factory=anyio.Event)
-    history: StoreHistory = field(default_factory=StoreHistory)
+    store_history: StoreHistory = field(default_factory=StoreHistory)
     freshness: Freshness = field(init=False)
     region: Region = field(init=False)
     target_feed: TargetFeed = field(init=False)
@@ -309,10 +309,10 @@
         if spec is not None:
             generation = self._apply_configuration(spec, reading.revision)
         now = read_clock()
-        if self.history.record(era_of(reading.revision), generation, now):
+        if self.store_history.record(era_of(reading.revision), generation, now):
             self.metrics.store_returns.inc({})
             self._store_returned.set()
-        if self.history.proves_latest(self.table.generation, now):
+        if self.store_history.proves_latest(self.table.generation, now):
             self.freshness.prove(reading.asked_at)
 
     async def _restore_secret(self) -> None:
--- a/cowsliprack/transport/target_feed.py
+++ b/cowsliprack/transport/target_feed.py
@@ -15,7 +15,7 @@
 # Time for which a target that has left gets no requests although a copy of the
 # store lists it. Its entry is removed again within two seconds of the return or
 # after three heartbeats of 1.2 seconds without a sign of life.
-_DOUBT_SECONDS = 6.0
+_STALE_SECONDS = 6.0
 # Most targets named in one log line.
 _MAX_LOGGED_TARGETS = 20
 
@@ -57,7 +57,7 @@
             is_newer = registry.replace(changed, reading.revision)
         else:
             is_newer = registry.apply(changed, removed, reading.revision)
-        self._end_doubts()
+        self._expire_stale_targets()
         if is_newer and (whole or changed or removed):
             states = [
                 f'{record.target_id} {record.state.value}' for record in changed
@@ -70,7 +70,7 @@
         :param view: view of the leader.
         """
         is_newer = apply_relayed_targets(self.registry, view)
-        self._end_doubts()
+        self._expire_stale_targets()
         if not is_newer:
             return
         if view.targets or view.targets_gone:
@@ -79,27 +79,27 @@
             ]
             self._report('leader', states, list(view.targets_gone))
 
-    def _end_doubts(self) -> None:
-        """Offer doubted targets again that are listed for long enough."""
+    def _expire_stale_targets(self) -> None:
+        """Offer stale targets again if they stay listed for long enough."""
         registry = self.registry
         now = self.clock()
         era = era_of(registry.revision)
         if era != self._era:
             self._era = era
             self._era_seen_at = now
-            if registry.doubted_ids:
+            if registry.stale_ids:
                 _log.warning(
-                    'targets_doubted',
+                    'targets_stale',
                     era=era,
-                    targets=sorted(registry.doubted_ids)[:_MAX_LOGGED_TARGETS],
+                    targets=sorted(registry.stale_ids)[:_MAX_LOGGED_TARGETS],
                 )
-        if registry.doubted_ids and now - self._era_seen_at >= _DOUBT_SECONDS:
+        if registry.stale_ids and now - self._era_seen_at >= _STALE_SECONDS:
             _log.info(
-                'targets_trusted',
+                'targets_not_stale',
                 era=era,
-                targets=sorted(registry.doubted_ids)[:_MAX_LOGGED_TARGETS],
+                targets=sorted(registry.stale_ids)[:_MAX_LOGGED_TARGETS],
             )
-            registry.doubted_ids.clear()
+            registry.stale_ids.clear()
             self.changed()
 
     def _report(
