Acknowledge a complete list of targets at once

After a return of the store the leader sends each member a complete list. Now a member reports at once, as after a full view.

--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -333,7 +333,8 @@
         context = self.context
         if view.instance_id == context.instance_id:
             return
-        context.apply_relayed_targets(view)
+        if context.apply_relayed_targets(view):
+            self._report_due.set()
         proved_at = relayed_proof(view, context.table().generation)
         if proved_at is not None:
             context.freshness.prove(proved_at)
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -69,7 +69,8 @@
     :param table: returns the active routing table.
     :param configuration_copy: returns the active configuration as stored.
     :param apply_configuration_copy: applies such a copy from the leader.
-    :param apply_relayed_targets: applies the leader's list of targets.
+    :param apply_relayed_targets: applies the leader's list of targets; returns
+        whether to report at once.
     :param clock: seconds; must keep running during suspension.
     """
 
@@ -94,7 +95,7 @@
     table: Callable[[], RoutingTable]
     configuration_copy: Callable[[], bytes]
     apply_configuration_copy: Callable[[bytes], None]
-    apply_relayed_targets: Callable[[LeaderView], None]
+    apply_relayed_targets: Callable[[LeaderView], bool]
     clock: Callable[[], float]
 
 
--- a/cowsliprack/transport/target_feed.py
+++ b/cowsliprack/transport/target_feed.py
@@ -62,22 +62,27 @@
             states = [
                 f'{record.target_id} {record.state.value}' for record in changed
             ]
-            self._report('store', states, removed)
+            self._announce('store', states, removed)
 
-    def apply_view(self, view: LeaderView) -> None:
+    def apply_view(self, view: LeaderView) -> bool:
         """Apply the targets that the leader relays.
 
         :param view: view of the leader.
+        :returns: whether to report at once, since each view repeats a complete
+            list until a report acknowledges it.
         """
         is_newer = apply_relayed_targets(self.registry, view)
         self._expire_stale_targets()
-        if not is_newer:
-            return
+        if is_newer:
+            self._announce_view(view)
+        return is_newer and view.targets_complete
+
+    def _announce_view(self, view: LeaderView) -> None:
         if view.targets or view.targets_gone:
             states = [
                 f'{target.target_id} {target.state}' for target in view.targets
             ]
-            self._report('leader', states, list(view.targets_gone))
+            self._announce('leader', states, list(view.targets_gone))
 
     def _expire_stale_targets(self) -> None:
         """Offer stale targets again if they stay listed for long enough."""
@@ -102,7 +107,7 @@
             registry.stale_ids.clear()
             self.changed()
 
-    def _report(
+    def _announce(
         self, source: str, states: list[str], removed: list[str]
     ) -> None:
         _log.info(
--- a/tests/state/target_registry.feature
+++ b/tests/state/target_registry.feature
@@ -71,3 +71,14 @@
     And a member that knew targets a and b as of revision 29 of era 2
     When the leader sees target c change as of revision 30 of era 2
     Then a member that states no era has the targets a, b and c
+
+  Scenario Outline: A complete list from the leader is acknowledged at once: <known>
+    Given a leader that knew targets a and b as of revision 145 of era 1
+    And a member that knew targets a and b as of revision <revision> of era <era>
+    When the leader lists targets b and c as of revision 30 of era 2
+    Then the member reports at once after each of 2 equal views: <answers>
+
+    Examples:
+      | known          | revision | era | answers |
+      | an earlier era | 145      | 1   | yes, no |
+      | the same era   | 29       | 2   | no, no  |
--- a/tests/steps/target_registry_steps.py
+++ b/tests/steps/target_registry_steps.py
@@ -96,12 +96,16 @@
     _check(context.member, names)
 
 
-def _relay(context, leader_states=True, member_states=True):
-    """Apply a leader's view; an earlier build states no era."""
+def _member_report(context, states_era=True):
     stated = stated_version(context.member)
-    if not member_states:
+    if not states_era:
         stated.pop('registry_era')
-    report = MemberReport('m', '', 'z', 'boot', 1, 0.0, 0, 0, **stated)
+    return MemberReport('m', '', 'z', 'boot', 1, 0.0, 0, 0, **stated)
+
+
+def _relay(context, leader_states=True, member_states=True):
+    """Apply a leader's view; an earlier build states no era."""
+    report = _member_report(context, states_era=member_states)
     changes = registry_changes(context.registry, report)
     if not leader_states:
         changes.pop('registry_era')
@@ -170,3 +174,17 @@
 @then('the targets that get requests are {names}')
 def then_ready(context, names):
     _check_ready(context.registry, names)
+
+
+@then('the member reports at once after each of 2 equal views: {answers}')
+def then_reports(context, answers):
+    feed = TargetFeed(
+        context.member, lambda *_: None, lambda: None, lambda: 0.0
+    )
+    reports = []
+    for _ in range(2):
+        report = _member_report(context)
+        changes = registry_changes(context.registry, report)
+        view = LeaderView(1, 1, 'leader', '', **changes)
+        reports.append('yes' if feed.apply_view(view) else 'no')
+    assert ', '.join(reports) == answers, reports
