Name the digest of a request in the lines of its failed sends

With two gateways before two services that crash under a lookup that was answered once, every crash is noticed (target_crashed), and the digest of the broken lookups is missing among the suspects of all but one: the crash is not counted.

--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -166,6 +166,7 @@
             ran=failure.ran.value,
             sends=request.sends,
             prompt_parts=[part for part, _ in request.metadata.prompt_parts],
+            digest=request.digest,
             first_ms=request.first_byte_ms(),
         )
         if not retry:
