Count crashes against requests that were answered before

Callers that sent one lookup again and again saw service after service end under it, and all others who used them saw 502 and 503.

Cause: an answer proved its request and prompt parts sound for 60 s, also against crashes after it. They were not counted, and notices of them from other instances were contradicted. Ruled out by the logs: every crash was noticed, and notices reached the other gateway.

Now an answer disproves the crashes that lie before its request was sent (for parts: before the answer began and went on for 0.5 s), by their ids, and they are remembered as disproved, so that the order of notices does not matter. Parts that were answered within 60 s need four crashes. Of digests with the same crashes the one with fewer answers is refused.

--- a/cowsliprack/coordination/poison.py
+++ b/cowsliprack/coordination/poison.py
@@ -1,14 +1,17 @@
 """Detection of requests and prompt parts that crash the targets that run them.
 
 A crash ends all requests on its target, and only one of them is the cause. Each
-crash therefore counts against all of them, and an answer that reached its end
-proves that a request, and each part of its prompt, is not the cause.
+crash therefore counts against all of them, and an answer that reaches its end
+after the crash proves that a request, and each part of its prompt, is not the
+cause. An answer before the crash proves nothing: a request may come to crash
+targets that have served it.
 """
 
 import hashlib
 import math
 from dataclasses import dataclass
 
+from cowsliprack.coordination.recent_answers import RecentAnswers
 from cowsliprack.protocol.peer import (
     AnyPoisonNotice,
     PoisonNotice,
@@ -20,14 +23,12 @@
 # parts that it shares with others.
 CRASH_LIMIT = 2
 # The same for earlier parts: prompts share prefixes, so an earlier part is in
-# many requests, and refusing it for a crash of one of them refuses all.
-EARLIER_PART_CRASH_LIMIT = 4
+# many requests, and refusing it for a crash of one of them refuses all. It is
+# also the limit for parts that were answered shortly before the crashes.
+SHARED_PART_CRASH_LIMIT = 4
 # Time after which a crash no longer counts, so that a request that was only in
 # flight together with the cause is not refused permanently.
 CRASH_LIFETIME_SECONDS = 600
-# Time for which a complete answer proves its request and prompt parts sound. A
-# part that comes to crash targets later is refused after this time.
-SOUND_LIFETIME_SECONDS = 60
 # A part crashes its target when the answer begins. Answers that have gone on
 # for longer do not count against the parts of their prompts.
 _BEGINNING_SECONDS = 0.5
@@ -109,12 +110,15 @@
 
     :param parts: digests of its prompt parts that other requests may share.
     :param answered_since: when its answer began, seconds; ``None`` before.
+    :param has_proved_parts: whether its answer has disproved the crashes of
+        its prompt parts.
     """
 
     digest: str
     target_id: str
     parts: tuple[str, ...] = ()
     answered_since: float | None = None
+    has_proved_parts: bool = False
 
     def is_beginning(self, now: float) -> bool:
         """Return whether the answer has begun recently or not at all.
@@ -148,9 +152,12 @@
         """
         self._lifetime = lifetime
         self._expiry_by_crash_by_digest: dict[str, dict[str, float]] = {}
+        # Crashes that an answer has disproved; another instance may still
+        # send notices of them.
+        self._disproved_by_digest: dict[str, dict[str, float]] = {}
         self._in_flight_by_id: dict[int, InFlightRequest] = {}
         self._expiry_by_seen_crash: dict[str, float] = {}
-        self._expiry_by_sound_digest: dict[str, float] = {}
+        self._answers = RecentAnswers(MAX_DIGESTS)
         self._trials_by_digest: dict[str, Trials] = {}
         self._last_in_flight_id = 0
         self._next_expiry_at = -math.inf
@@ -175,16 +182,26 @@
         )
         return self._last_in_flight_id
 
-    def record_answer(self, in_flight_id: int, now: float) -> None:
-        """Record that the answer to a request has begun.
+    def record_answer(self, in_flight_id: int, now: float) -> list[SoundNotice]:
+        """Record that the answer to a request has begun or goes on.
+
+        Once it has gone on for longer than a crash needs, it disproves the
+        earlier crashes of the request's prompt parts.
 
         :param in_flight_id: returned by ``add_in_flight``; unknown ids are
             ignored.
         :param now: seconds.
+        :returns: notices for all other instances.
         """
         request = self._in_flight_by_id.get(in_flight_id)
-        if request is not None and request.answered_since is None:
+        if request is None:
+            return []
+        if request.answered_since is None:
             request.answered_since = now
+        if request.has_proved_parts or request.is_beginning(now):
+            return []
+        request.has_proved_parts = True
+        return self.on_answered(request.parts, request.answered_since, now)
 
     def remove_in_flight(self, in_flight_id: int) -> None:
         """Remove a request that is no longer in flight.
@@ -275,7 +292,12 @@
         :param digests: of the request and of the shared parts of its prompt.
         :param now: seconds.
         """
-        return any(self.crash_count(digest, now) for digest in digests)
+        whole, *parts = digests
+        return self.crash_count(whole, now) > 0 or any(
+            self.crash_count(part, now) > 0
+            and not self._answers.count(part, now)
+            for part in parts
+        )
 
     def suspect_targets(self, now: float) -> frozenset[str]:
         """Return the targets that run a suspect request of this instance.
@@ -285,39 +307,41 @@
         return frozenset(
             request.target_id
             for request in self._in_flight_by_id.values()
-            if any(
-                self.crash_count(digest, now)
-                for digest in (request.digest, *request.parts)
-            )
+            if self.is_any_suspect((request.digest, *request.parts), now)
         )
 
-    def is_sound(self, digest: str, now: float) -> bool:
-        """Return whether an answer to such a request ended recently.
-
-        :param digest: of a request or a prompt part.
-        :param now: seconds.
-        """
-        return self._expiry_by_sound_digest.get(digest, -math.inf) > now
-
     def on_answered(
         self,
         digests: tuple[str, ...],
+        started_at: float,
         now: float,
     ) -> list[SoundNotice]:
-        """Drop the crashes of a request that a target has answered completely.
+        """Drop the crashes that an answer has disproved.
+
+        These are the ones before its request was sent, or before the answer
+        began. A request that comes to crash targets may still be answered by a
+        target that had begun before.
 
         :param digests: of the request and of the shared parts of its prompt.
-        :param now: seconds.
+        :param started_at: when the request was sent or its answer began,
+            seconds.
+        :param now: time until which the answer has been received, seconds.
         :returns: notices for all other instances.
         """
-        suspects = [
-            digest
-            for digest in digests
-            if digest in self._expiry_by_crash_by_digest
-        ]
-        for sound_digest in digests:
-            self._record_sound(sound_digest, now)
-        return [SoundNotice(suspect) for suspect in suspects]
+        notices = []
+        for digest in digests:
+            self._answers.record(digest, now)
+            counted = self._expiry_by_crash_by_digest.get(digest, {})
+            disproved = tuple(
+                crash
+                for crash, expiry in counted.items()
+                if expiry - self._lifetime < started_at
+            )
+            if disproved:
+                notice = SoundNotice(digest, disproved)
+                self.on_sound_notice(notice, now)
+                notices.append(notice)
+        return notices
 
     def on_crash(
         self,
@@ -350,10 +374,15 @@
             digest
             for request in lost_requests.values()
             for digest in request.possible_causes(now)
-            if not self.is_sound(digest, now)
         )
         notices = [
-            PoisonNotice(digest, crash, target_id, self._lifetime)
+            PoisonNotice(
+                digest,
+                crash,
+                target_id,
+                self._lifetime,
+                self._answers.count(digest, now) > 0,
+            )
             for digest in digests
         ]
         for notice in notices:
@@ -368,8 +397,10 @@
         :returns: whether it was not known yet, so that a leader relays it once.
         """
         self._expire(now)
+        if notice.recently_answered:
+            self._learn_answered(notice.digest, now)
         lifetime = min(notice.lifetime, self._lifetime)
-        if lifetime <= 0 or self.is_sound(notice.digest, now):
+        if lifetime <= 0 or self._is_disproved(notice):
             return False
         crashes_by_digest = self._expiry_by_crash_by_digest
         expiry_by_crash = crashes_by_digest.setdefault(notice.digest, {})
@@ -383,25 +414,41 @@
         return True
 
     def on_sound_notice(self, notice: SoundNotice, now: float) -> bool:
-        """Drop the crashes of a request or part that another instance answered.
+        """Drop crashes of a request or part that a target has answered.
 
-        :param notice: from another instance.
+        :param notice: from another instance or from ``on_answered``.
         :param now: seconds.
         :returns: whether it was not known yet, so that a leader relays it once.
         """
-        is_new = notice.digest in self._expiry_by_crash_by_digest
-        self._record_sound(notice.digest, now)
+        digest = notice.digest
+        is_new = self._learn_answered(digest, now)
+        counted = self._expiry_by_crash_by_digest.get(digest, {})
+        crashes = notice.crash_ids
+        if crashes is None:
+            # Earlier builds do not name the crashes that they have dropped.
+            crashes = tuple(counted)
+        for crash in crashes:
+            is_new |= self._disprove(digest, crash, now)
+        if not counted:
+            self._expiry_by_crash_by_digest.pop(digest, None)
+            self._trials_by_digest.pop(digest, None)
         return is_new
 
     def reply(self, notice: AnyPoisonNotice, now: float) -> SoundNotice | None:
-        """Return the contradiction of a notice by an answer of this instance.
+        """Return what the sender of a crash notice does not know of its digest.
+
+        That is an answer at this instance after the crash, which disproves it,
+        or shortly before it.
 
         :param notice: from another instance.
         :param now: seconds.
         """
-        is_crash = isinstance(notice, PoisonNotice)
-        if is_crash and self.is_sound(notice.digest, now):
-            return SoundNotice(notice.digest)
+        if not isinstance(notice, PoisonNotice):
+            return None
+        if self._is_disproved(notice):
+            return SoundNotice(notice.digest, (notice.crash_id,))
+        if self._answers.count(notice.digest, now):
+            return SoundNotice(notice.digest, ())
         return None
 
     def notices(self, now: float) -> list[PoisonNotice]:
@@ -410,7 +457,13 @@
         :param now: seconds.
         """
         return [
-            PoisonNotice(digest, crash, crash.rpartition('/')[0], expiry - now)
+            PoisonNotice(
+                digest,
+                crash,
+                crash.rpartition('/')[0],
+                expiry - now,
+                self._answers.count(digest, now) > 0,
+            )
             for digest, expiries in self._expiry_by_crash_by_digest.items()
             for crash, expiry in expiries.items()
             if expiry > now
@@ -425,19 +478,39 @@
             digest
             for position, digest in enumerate(digests)
             if self.crash_count(digest, now)
-            >= _crash_limit(position, len(digests))
-            and not self._is_explained(digest)
+            >= self._crash_limit(digests, position, now)
+            and not self._is_explained(digest, now)
         ]
 
-    def _is_explained(self, digest: str) -> bool:
+    def _crash_limit(
+        self,
+        digests: tuple[str, ...],
+        position: int,
+        now: float,
+    ) -> int:
+        if position == 0:
+            return CRASH_LIMIT
+        is_last_part = position == len(digests) - 1
+        if is_last_part and not self._answers.count(digests[position], now):
+            return CRASH_LIMIT
+        return SHARED_PART_CRASH_LIMIT
+
+    def _is_explained(self, digest: str, now: float) -> bool:
         """Return whether another digest explains the crashes of this one.
 
-        The other one was in flight in each of these crashes and in more.
+        The other one was in flight in each of these crashes, and in more or
+        has had fewer answers: what is in many requests is in flight in a crash
+        by chance.
         """
         crashes = self._expiry_by_crash_by_digest[digest].keys()
+        answers = self._answers.count(digest, now)
         return any(
-            len(others) > len(crashes) and crashes <= others.keys()
-            for others in self._expiry_by_crash_by_digest.values()
+            crashes <= others.keys()
+            and (
+                len(others) > len(crashes)
+                or self._answers.count(other, now) < answers
+            )
+            for other, others in self._expiry_by_crash_by_digest.items()
         )
 
     def _next_trial_at(self, digest: str) -> float:
@@ -447,15 +520,26 @@
         wait = _TRIAL_SECONDS * 2**trials.count
         return max(crashed_at, trials.last_at) + wait
 
-    def _record_sound(self, digest: str, now: float) -> None:
-        self._expiry_by_crash_by_digest.pop(digest, None)
-        self._trials_by_digest.pop(digest, None)
-        # The newest is the last, so that the oldest is dropped at the bound.
-        sound = self._expiry_by_sound_digest
-        sound.pop(digest, None)
-        sound[digest] = now + SOUND_LIFETIME_SECONDS
-        if len(sound) > MAX_DIGESTS:
-            sound.pop(next(iter(sound)))
+    def _learn_answered(self, digest: str, now: float) -> bool:
+        """Record an answer of another instance; return whether it is news."""
+        is_new = not self._answers.count(digest, now)
+        if is_new:
+            self._answers.record(digest, now)
+        return is_new
+
+    def _is_disproved(self, notice: PoisonNotice) -> bool:
+        disproved = self._disproved_by_digest.get(notice.digest, {})
+        return notice.crash_id in disproved
+
+    def _disprove(self, digest: str, crash: str, now: float) -> bool:
+        """Drop a crash of a digest; return whether that was not known yet."""
+        self._expiry_by_crash_by_digest.get(digest, {}).pop(crash, None)
+        disproved = self._disproved_by_digest.setdefault(digest, {})
+        is_new = crash not in disproved
+        disproved[crash] = now + self._lifetime
+        if len(self._disproved_by_digest) > MAX_DIGESTS:
+            self._disproved_by_digest.pop(next(iter(self._disproved_by_digest)))
+        return is_new
 
     def _expire(self, now: float) -> None:
         # A pass over all digests at each notice would be too expensive.
@@ -468,14 +552,13 @@
             if not expiries:
                 crashes_by_digest.pop(digest)
                 self._trials_by_digest.pop(digest, None)
+        for digest, expiries in list(self._disproved_by_digest.items()):
+            _drop_expired(expiries, now)
+            if not expiries:
+                self._disproved_by_digest.pop(digest)
         _drop_expired(self._expiry_by_seen_crash, now)
 
 
-def _crash_limit(position: int, count: int) -> int:
-    is_earlier_part = 0 < position < count - 1
-    return EARLIER_PART_CRASH_LIMIT if is_earlier_part else CRASH_LIMIT
-
-
 def _drop_expired(expiry_by_crash: dict[str, float], now: float) -> None:
     for crash, expiry in list(expiry_by_crash.items()):
         if expiry <= now:
--- a/cowsliprack/protocol/peer.py
+++ b/cowsliprack/protocol/peer.py
@@ -256,22 +256,27 @@
     :param digest: digest of the request.
     :param crash_id: identifies the crash, so that it is counted once.
     :param lifetime: seconds until the crash no longer counts.
+    :param recently_answered: whether the sender knows of an answer to the
+        request or part shortly before the crash.
     """
 
     digest: str
     crash_id: str
     target_id: str
     lifetime: float
+    recently_answered: bool = False
 
 
 class SoundNotice(PeerMessage, frozen=True):
     """Notice that a target has answered a request to its end.
 
-    :param digest: digest of the request or of a part of its prompt, against
-        which crashes had been counted.
+    :param digest: digest of the request or of a part of its prompt.
+    :param crash_ids: crashes that the answer disproves; ``None`` in notices of
+        earlier builds, which mean all crashes.
     """
 
     digest: str
+    crash_ids: tuple[str, ...] | None = None
 
 
 class TrialNotice(PeerMessage, frozen=True):
--- a/cowsliprack/transport/poison_watch.py
+++ b/cowsliprack/transport/poison_watch.py
@@ -8,6 +8,7 @@
 from cowsliprack.protocol.peer import (
     AnyPoisonNotice,
     PoisonNotice,
+    SoundNotice,
     TrialNotice,
 )
 from cowsliprack.state.target_registry import TargetRecord, TargetRegistry
@@ -67,26 +68,35 @@
         digest, *parts = digests
         return self.tracker.add_in_flight(digest, target_id, tuple(parts))
 
-    def on_answered(self, digests: tuple[str, ...]) -> None:
+    def on_events(self, in_flight_id: int) -> None:
+        """Record that events of an answer have arrived.
+
+        :param in_flight_id: returned by ``on_send``.
+        """
+        self._announce_sound(
+            self.tracker.record_answer(in_flight_id, self.clock())
+        )
+
+    def on_answered(self, digests: tuple[str, ...], sent_at: float) -> None:
         """Record that a target has answered a request to its end.
 
         :param digests: of the request and of the shared parts of its prompt.
+        :param sent_at: when the request was sent to the target, seconds.
         """
-        for notice in self.tracker.on_answered(digests, self.clock()):
-            self._log_sound(notice.digest, 'answered here')
-            self.announce(notice)
+        self._announce_sound(
+            self.tracker.on_answered(digests, sent_at, self.clock())
+        )
 
     def apply(self, notice: AnyPoisonNotice) -> bool:
-        """Apply a notice and contradict it if an answer has disproved it.
+        """Apply a notice and reply if its sender does not know of an answer.
 
         :param notice: from another instance.
         :returns: whether it was not known yet, so that a leader relays it once.
         """
         now = self.clock()
-        contradiction = self.tracker.reply(notice, now)
-        if contradiction is not None:
-            self.announce(contradiction)
-            return False
+        reply = self.tracker.reply(notice, now)
+        if reply is not None:
+            self.announce(reply)
         if isinstance(notice, TrialNotice):
             return self.tracker.on_trial_notice(notice, now)
         if isinstance(notice, PoisonNotice):
@@ -95,7 +105,7 @@
                 self._log_poison(notice.digest)
             return is_new
         is_new = self.tracker.on_sound_notice(notice, now)
-        if is_new:
+        if is_new and _disproves_crashes(notice):
             self._log_sound(notice.digest, 'answered at another instance')
         return is_new
 
@@ -116,6 +126,11 @@
             self._log_poison(notice.digest)
             self.announce(notice)
 
+    def _announce_sound(self, notices: list[SoundNotice]) -> None:
+        for notice in notices:
+            self._log_sound(notice.digest, 'answered here')
+            self.announce(notice)
+
     def _log_poison(self, digest: str) -> None:
         now = self.clock()
         if not self.tracker.is_refused(digest, now):
@@ -129,3 +144,7 @@
 
     def _log_sound(self, digest: str, reason: str) -> None:
         log_decision('poison_cleared', digest, reason)
+
+
+def _disproves_crashes(notice: SoundNotice) -> bool:
+    return notice.crash_ids is None or bool(notice.crash_ids)
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -410,7 +410,7 @@
             await self._forward_stream(request, target, response, sent_at)
             # Without a length or chunks, a crash looks like the end.
             if _has_framing(response):
-                self.poison.on_answered(request.digests)
+                self.poison.on_answered(request.digests, sent_at)
             return
         body = await read_body(response, MAX_ANSWER_BYTES)
         if status >= _MIN_SERVER_ERROR_STATUS and self._may_retry_elsewhere(
@@ -420,7 +420,7 @@
         self._record_first_byte(request, target, sent_at)
         await self._forward_whole(request, response, body)
         if status < _MIN_SERVER_ERROR_STATUS:
-            self.poison.on_answered(request.digests)
+            self.poison.on_answered(request.digests, sent_at)
 
     def _record_limit(self, target: TargetRecord, headers: HeaderPairs) -> None:
         rate = self.dialect.stated_limit(headers)
@@ -494,7 +494,7 @@
         """Record progress; bytes that complete no event are none."""
         now = self.clock()
         self.target_selector.record_bytes(target.target_id, now)
-        self.poison.tracker.record_answer(request.in_flight_id, now)
+        self.poison.on_events(request.in_flight_id)
         if not request.first_byte_at:
             self._record_first_byte(request, target, sent_at)
 
--- a/tests/coordination/poison.feature
+++ b/tests/coordination/poison.feature
@@ -3,7 +3,8 @@
   refusing requests that were only in flight together with it (P14).
 
   # Events: send REQUEST TARGET, end REQUEST, crash TARGET BOOT,
-  # notice REQUEST CRASH, wait SECONDS.
+  # notice REQUEST CRASH, served REQUEST, disproved REQUEST CRASH (elsewhere),
+  # wait SECONDS.
   Scenario Outline: <case>
     Given a poison tracker
     When the tracker receives the events "<events>"
@@ -23,6 +24,13 @@
       | crashes expire                                    | send x e1; crash e1 b1; wait 601                          | x clean                 |
       | a refusal ends when one crash has expired         | notice x e1/b1; wait 300; notice x e2/b1; wait 301        | x suspect               |
       | an expired crash does not count with a new one    | notice x e1/b1; wait 601; notice x e2/b1                  | x suspect               |
+      | an answer before the crashes proves nothing       | served x; send x e1; crash e1 b1; send x e2; crash e2 b1  | x refused               |
+      | nor does it against crashes seen elsewhere        | served x; notice x e1/b1; notice x e2/b1                  | x refused               |
+      | an answer after a crash disproves it              | send x e1; crash e1 b1; wait 1; served x                  | x clean                 |
+      | a crash after the answer counts                   | send x e1; crash e1 b1; wait 1; served x; notice x e2/b1  | x suspect               |
+      | a late notice of a disproved crash does not count | notice x e1/b1; wait 1; served x; notice x e1/b1; notice x e2/b1 | x suspect              |
+      | an answer elsewhere disproves the crashes it names | notice x e1/b1; notice x e2/b1; disproved x e1/b1        | x suspect               |
+      | and none that are still unknown                   | disproved x e1/b1; notice x e1/b1; notice x e2/b1         | x suspect               |
 
   Scenario: Targets that run a suspect are reported
     Given a poison tracker
@@ -59,9 +67,13 @@
       | four crashes on an earlier part              | send x e1 p+a; crash e1 b1; send y e1 p+b; crash e1 b2; send z e1 p+c; crash e1 b3; send w e1 p+d; crash e1 b4 | p+s | refused |
       | only one shared part                         | send x e1 p; crash e1 b1; send y e2 p; crash e2 b1                                 | p     | refused  |
       | a part that was answered before              | served a q+p; send x e1 q+p; crash e1 b1; send y e2 q+p; crash e2 b1               | q+p   | admitted |
+      | a part that was answered before, four crashes | served a q+p; send x e1 q+p; crash e1 b1; send y e2 q+p; crash e2 b1; send z e1 q+p; crash e1 b2; send w e2 q+p; crash e2 b2 | r+p | refused |
+      | an answer between four crashes               | served a p; send x e1 p; crash e1 b1; send y e2 p; crash e2 b1; wait 1; served b p; send z e1 p; crash e1 b2; send w e2 p; crash e2 b2 | p | admitted |
       | a part that is answered after the crashes    | send x e1 p; crash e1 b1; send y e2 p; crash e2 b1; served z p                     | p     | admitted |
       | a part that is answered elsewhere            | send x e1 p; crash e1 b1; send y e2 p; crash e2 b1; sound p                        | p     | admitted |
       | a part that comes to crash targets later     | served a p; wait 61; send x e1 p; crash e1 b1; send y e2 p; crash e2 b1            | p     | refused  |
+      | an answer that began before the crashes      | served a p; send x e1 p; send w e3 p; answer w; crash e1 b1; send y e2 p; crash e2 b1; send z e1 p; crash e1 b2; send v e2 p; crash e2 b2; wait 1; answer w | p | refused |
+      | an answer that began after them goes on      | served a p; send x e1 p; send w e3 p; crash e1 b1; send y e2 p; crash e2 b1; send z e1 p; crash e1 b2; send v e2 p; crash e2 b2; wait 1; answer w; wait 1; answer w | p | admitted |
       | answers that had gone on for a while         | send x e1 p; answer x; wait 0.6; crash e1 b1; send y e2 p; answer y; wait 0.6; crash e2 b1 | p | admitted |
       | answers that had just begun                  | send x e1 p; answer x; wait 0.1; crash e1 b1; send y e2 p; answer y; wait 0.1; crash e2 b1 | p | refused |
       | the crashes expire                           | send x e1 p; crash e1 b1; send y e2 p; crash e2 b1; wait 601                       | p     | admitted |
@@ -83,6 +95,24 @@
       | an earlier part    | 6    |
       | an earlier part    | 8    |
 
+  Scenario Outline: A day on which <where> that was answered comes to crash engines: seed <seed>
+    Given 6 instances before 6 engines that get 38 requests a second
+    When 3 requests a second hold <where> that crashes engines from second 10 to 50
+    Then at most 3 requests with it are sent later than 3 seconds after the fifth crash
+    And sound requests with each earlier part begin at least half as often
+    And at most 2 + 4 in 100 of the parts are never served
+
+    Examples:
+      | where              | seed |
+      | a last shared part | 1    |
+      | a last shared part | 2    |
+      | a last shared part | 3    |
+      | a last shared part | 4    |
+      | an earlier part    | 5    |
+      | an earlier part    | 6    |
+      | an earlier part    | 7    |
+      | an earlier part    | 8    |
+
   Scenario Outline: One request is let through to find out whether targets still crash: <case>
     Given a poison tracker
     When the tracker receives the events "send x e1 p; crash e1 b1; send y e2 p; crash e2 b1; <events>"
@@ -106,5 +136,8 @@
     Examples:
       | case                        | events                                                                                          | verdict  |
       | the other one crashed more  | send x e1 p; send a e1 s; crash e1 b1; send y e2 p; send b e2 s; crash e2 b1; send z e3 p; crash e3 b1 | admitted |
+      | it was answered before      | served a s; send x e1 p; send a e1 s; crash e1 b1; send y e2 p; send b e2 s; crash e2 b1; send z e3 p; send c e3 s; crash e3 b1; send w e4 p; send d e4 s; crash e4 b1 | admitted |
+      | it was answered more often  | served a s; served b s; served x p; send x e1 p; send a e1 s; crash e1 b1; send y e2 p; send b e2 s; crash e2 b1; send z e3 p; send c e3 s; crash e3 b1; send w e4 p; send d e4 s; crash e4 b1 | admitted |
+      | both were answered once     | served a s; served x p; send x e1 p; send a e1 s; crash e1 b1; send y e2 p; send b e2 s; crash e2 b1; send z e3 p; send c e3 s; crash e3 b1; send w e4 p; send d e4 s; crash e4 b1 | refused |
       | both crashed the same       | send x e1 p; send a e1 s; crash e1 b1; send y e2 p; send b e2 s; crash e2 b1                     | refused  |
       | it crashed alone as well    | send x e1 p; send a e1 s; crash e1 b1; send b e2 s; crash e2 b1; send z e3 p; crash e3 b1; send y e4 p; crash e4 b1 | refused |
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -229,6 +229,19 @@
     Then no engine crashed later than 1 second after the second crash
     And requests with the prompt parts "ab cd" are served by g1 and g2
 
+  Scenario Outline: A repeated request that crashes services is refused everywhere: <history>
+    Given <answered lookups>
+    And services that crash on lookups of "/stock/7"
+    When a caller sends the lookup of "/stock/7" 12 times to g1 and g2
+    Then no service crashed later than 1 second after the second crash
+    And lookups of "/stock/8" are served by g1 and g2
+
+    Examples:
+      | history                        | answered lookups                                           |
+      | it was never answered          | lookups of "/stock/8" that g1 and g2 answered before       |
+      | it was answered at one gateway | lookups of "/stock/7" that g1 answered before             |
+      | it was answered at both        | lookups of "/stock/7" that g1 and g2 answered before       |
+
   Scenario Outline: <targets> get no more requests than the limit they name
     Given <targets> that name a limit of 2 requests a second
     When callers send <request> 16 times a second to g1 and g2 for 9 seconds
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -844,15 +844,55 @@
 
 @then('no engine crashed later than {seconds:g} second after the second crash')
 def then_no_late_crash(context, seconds):
+    _check_crash_times(context, ('e1', 'e2'), seconds)
+
+
+def _check_crash_times(context, names, seconds):
     crashes = sorted(
         crashed_at
-        for name in ('e1', 'e2')
+        for name in names
         for crashed_at in context.cluster.engines[name].crashed_at
     )
     offsets = [round(crash - crashes[1], 2) for crash in crashes]
     assert max(offsets) <= seconds, offsets
 
 
+@given('lookups of "{path}" that {gateways} answered before')
+def given_answered_lookups(context, path, gateways):
+    for gateway in gateways.split(' and '):
+        assert _look_up(context, gateway, path)[0] == 200
+
+
+@given('services that crash on lookups of "{path}"')
+def given_crashing_path(context, path):
+    for name in ('s1', 's2'):
+        context.cluster.engines[name].faults.crashing_paths.add(path)
+
+
+def _look_up(context, gateway, path):
+    _, headers = _headers()
+    return _request(context, gateway, 'GET', path, headers)
+
+
+@when('a caller sends the lookup of "{path}" {count:d} times to g1 and g2')
+def when_lookup_repeated(context, path, count):
+    for number in range(count):
+        _look_up(context, f'g{number % 2 + 1}', path)
+        # Until the services run again; each request then meets one.
+        time.sleep(2 * RESTART_SECONDS)
+
+
+@then('lookups of "{path}" are served by g1 and g2')
+def then_lookups_served(context, path):
+    for gateway in ('g1', 'g2'):
+        assert _look_up(context, gateway, path)[0] == 200
+
+
+@then('no service crashed later than {seconds:g} second after the second crash')
+def then_no_late_service_crash(context, seconds):
+    _check_crash_times(context, ('s1', 's2'), seconds)
+
+
 @then('requests with the prompt parts "{parts}" are served by g1 and g2')
 def then_parts_served(context, parts):
     for gateway in ('g1', 'g2'):
--- a/tests/steps/poison_steps.py
+++ b/tests/steps/poison_steps.py
@@ -30,7 +30,7 @@
             )
         elif kind == 'served':
             context.tracker.on_answered(
-                (words[0], *_digests(words[1:])), context.now
+                (words[0], *_digests(words[1:])), context.now, context.now
             )
         elif kind == 'try':
             context.tracker.begin_trials(('new', *_digests(words)), context.now)
@@ -40,6 +40,9 @@
         elif kind == 'sound':
             notice = SoundNotice(poison.part_digest(words[0]))
             context.tracker.on_sound_notice(notice, context.now)
+        elif kind == 'disproved':
+            notice = SoundNotice(words[0], (words[1],))
+            context.tracker.on_sound_notice(notice, context.now)
         elif kind == 'end':
             context.tracker.remove_in_flight(context.in_flight_ids[words[0]])
         elif kind == 'crash':
@@ -151,6 +154,16 @@
     context.world.play(rate, where == 'an earlier part', seconds)
 
 
+@when(
+    '{rate:d} requests a second hold {where} that crashes engines from second '
+    '{begins_at:d} to {ends_at:d}'
+)
+def when_played_later(context, rate, where, begins_at, ends_at):
+    context.now = ends_at
+    context.world.crashes_from = begins_at
+    context.world.play(rate, where == 'an earlier part', ends_at)
+
+
 @then(
     'at most {count:d} requests with it are sent later than {seconds:g} '
     'seconds after the fifth crash'
--- a/tests/support/poison_world.py
+++ b/tests/support/poison_world.py
@@ -21,6 +21,8 @@
 _ANSWER_SECONDS = 2.0
 # Seconds between the beginning of an answer and the crash.
 _CRASH_SECONDS = 0.09
+# Seconds of an answer that disprove the crashes of its prompt parts.
+_BEGINNING_SECONDS = 0.55
 # Share of the broken requests that are sent once more.
 _RETRY_SHARE = 0.5
 
@@ -37,6 +39,8 @@
         self.boots = dict.fromkeys(range(engines), 0)
         self.up_at = dict.fromkeys(range(engines), 0.0)
         self.rate = rate
+        # Time from which requests with the part crash engines, seconds.
+        self.crashes_from = 0
         self.crashed_at = []
         self.poison_sent_at = []
         # Sound requests by earlier part or subject.
@@ -117,27 +121,35 @@
         in_flight = tracker.add_in_flight(digests[0], str(engine), digests[1:])
         self._running[in_flight, id(tracker)] = (request, engine, is_first)
         begins_at = now + self.rng.uniform(0.05, 0.4)
-        self._at(begins_at, self._begin, tracker, in_flight, digests)
+        answer = (digests, now)
+        self._at(begins_at, self._begin, tracker, in_flight, answer)
 
-    def _begin(self, now, tracker, in_flight, digests):
+    def _begin(self, now, tracker, in_flight, answer):
         run = self._running.get((in_flight, id(tracker)))
         if run is None:
             return
-        if _POISON_PART in run[0][1]:
+        if _POISON_PART in run[0][1] and now >= self.crashes_from:
             self._at(
                 now + _CRASH_SECONDS, self._crash, run[1], self.boots[run[1]]
             )
             return
-        tracker.record_answer(in_flight, now)
+        self._at(now, self._record, tracker, in_flight)
+        self._at(now + _BEGINNING_SECONDS, self._record, tracker, in_flight)
         if run[2]:
             self.begun.update(run[0][1])
-        self._at(now + _ANSWER_SECONDS, self._end, tracker, in_flight, digests)
+        self._at(now + _ANSWER_SECONDS, self._end, tracker, in_flight, answer)
 
-    def _end(self, now, tracker, in_flight, digests):
+    def _record(self, now, tracker, in_flight):
+        if (in_flight, id(tracker)) not in self._running:
+            return
+        for notice in tracker.record_answer(in_flight, now):
+            self._at(now + _NOTICE_SECONDS, self._spread, tracker, notice)
+
+    def _end(self, now, tracker, in_flight, answer):
         if self._running.pop((in_flight, id(tracker)), None) is None:
             return
         tracker.remove_in_flight(in_flight)
-        for notice in tracker.on_answered(digests, now):
+        for notice in tracker.on_answered(*answer, now):
             self._at(now + _NOTICE_SECONDS, self._spread, tracker, notice)
 
     def _crash(self, now, engine, boot):
@@ -160,12 +172,10 @@
         for tracker in self.trackers:
             if tracker is origin:
                 continue
-            contradiction = tracker.reply(notice, now)
-            if contradiction is not None:
-                self._at(
-                    now + _NOTICE_SECONDS, self._spread, tracker, contradiction
-                )
-            elif isinstance(notice, PoisonNotice):
+            reply = tracker.reply(notice, now)
+            if reply is not None:
+                self._at(now + _NOTICE_SECONDS, self._spread, tracker, reply)
+            if isinstance(notice, PoisonNotice):
                 tracker.on_notice(notice, now)
             elif isinstance(notice, TrialNotice):
                 tracker.on_trial_notice(notice, now)
--- a/tools/standins/route_engine.py
+++ b/tools/standins/route_engine.py
@@ -48,6 +48,7 @@
     :param unanswered_requests: number of requests to run without responding.
     :param crashing_parts: prompt parts on which the engine crashes as soon as
         it runs a request with one of them.
+    :param crashing_paths: paths of requests on which the target crashes.
     :param stated_limit: requests per second that answers name as a limit;
         ``None`` for none.
     """
@@ -60,6 +61,7 @@
     failed_responses: int = 0
     unanswered_requests: int = 0
     crashing_parts: set[str] = field(default_factory=set)
+    crashing_paths: set[str] = field(default_factory=set)
     stated_limit: float | None = None
 
 
@@ -282,12 +284,17 @@
         """Respond; cancel the request if the caller disconnects."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_on_disconnect, request, tasks.cancel_scope)
-            if self.faults.crashing_parts & _prompt_parts(request):
+            if self._crashes_on(request):
                 self.crash()
                 await request.wait_for_disconnect()
             await self._respond(request, request_id)
             tasks.cancel_scope.cancel()
 
+    def _crashes_on(self, request: Request) -> bool:
+        if request.path in self.faults.crashing_paths:
+            return True
+        return bool(self.faults.crashing_parts & _prompt_parts(request))
+
     def _is_available(self, model: str, adapter: str) -> bool:
         adapters = self.models.get(model)
         return adapters is not None and (not adapter or adapter in adapters)
