Name software versions and continued attempts in routing lines

The version of an entry and the header Resumes are decoded and logged; nothing decides by them yet. Members learn versions with the leader's targets, by a new last field, which earlier builds ignore.

--- a/cowsliprack/coordination/relayed_targets.py
+++ b/cowsliprack/coordination/relayed_targets.py
@@ -92,6 +92,7 @@
         slots=record.slots,
         state=record.state.value,
         born=record.born,
+        software_version=record.software_version,
     )
 
 
@@ -108,4 +109,5 @@
         slots=view.slots,
         state=TargetState(view.state),
         born=view.born,
+        software_version=view.software_version,
     )
--- a/cowsliprack/platform/headers.py
+++ b/cowsliprack/platform/headers.py
@@ -23,6 +23,8 @@
 _TOKENS = b'x-token-count'
 _PROMPT_PARTS = b'x-prompt-prefix'
 _RESUME_AFTER = b'last-event-id'
+# Id of the caller's attempt that brought the first event of the stream.
+_CONTINUED = b'resumes'
 _PRIORITY = b'x-request-priority'
 _NOT_RUN = b'x-not-run'
 # Requests per second that a target in need takes from all instances together.
@@ -76,6 +78,7 @@
         has_token_counts=bool(prompt),
         prompt_parts=_parse_prompt_parts(values_by_name.get(_PROMPT_PARTS, '')),
         resume_after=values_by_name.get(_RESUME_AFTER, ''),
+        continued_id=values_by_name.get(_CONTINUED, ''),
     )
 
 
--- a/cowsliprack/platform/wire.py
+++ b/cowsliprack/platform/wire.py
@@ -121,6 +121,8 @@
     zone: str
     state: str
     slots: int = 1
+    # Version of the software, unlike the 'version' of a model's weights.
+    version: str = ''
     # Start of the process, milliseconds since the epoch.
     born: int = 0
     # Number of orders that the engine has accepted since its start.
@@ -202,6 +204,7 @@
         slots=wire.slots,
         state=state,
         born=wire.born,
+        software_version=wire.version,
         order_count=wire.seq,
         loaded_models_by_name=decode_loaded_models(wire.models),
         in_memory=frozenset(wire.at_hand.in_memory),
--- a/cowsliprack/protocol/dialect.py
+++ b/cowsliprack/protocol/dialect.py
@@ -25,6 +25,8 @@
     :param prompt_parts: id and token count of each part, in order.
     :param resume_after: id of the last event that the caller received; empty
         for a new stream.
+    :param continued_id: id of the caller's attempt that brought the first event
+        of the stream; empty for a new stream.
     """
 
     request_id: str
@@ -37,6 +39,7 @@
     has_token_counts: bool = False
     prompt_parts: tuple[tuple[str, int], ...] = ()
     resume_after: str = ''
+    continued_id: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -128,6 +128,8 @@
 
     :param state: ``ready`` or ``draining``.
     :param born: start of the target's process, milliseconds since the epoch.
+    :param software_version: version of its software; empty from leaders of
+        earlier builds.
     """
 
     target_id: str
@@ -137,6 +139,7 @@
     slots: int
     state: str
     born: int
+    software_version: str = ''
 
 
 class ConfigurationCopy(PeerMessage, frozen=True):
--- a/cowsliprack/state/target_registry.py
+++ b/cowsliprack/state/target_registry.py
@@ -33,6 +33,8 @@
 
     :param born: start of its process, milliseconds since the epoch. The same
         id with another start is a restarted process without its old state.
+    :param software_version: version of its software; what two versions write
+        in one stream does not fit together.
     :param order_count: number of orders accepted since its start.
     :param loaded_models_by_name: empty for a plain service.
     :param in_memory: models with a copy of the weights in main memory.
@@ -47,6 +49,7 @@
     slots: int
     state: TargetState
     born: int = 0
+    software_version: str = ''
     order_count: int = 0
     loaded_models_by_name: Mapping[str, LoadedModel] = field(
         default_factory=dict
