Reproduce streams that go on at another software version

Two engines of one service run v1 and v2. The lines of targets name the software version, by which the test knows that both gateways have read it.

--- a/cowsliprack/transport/target_feed.py
+++ b/cowsliprack/transport/target_feed.py
@@ -60,7 +60,9 @@
         self._expire_stale_targets()
         if is_newer and (whole or changed or removed):
             states = [
-                f'{record.target_id} {record.state.value}' for record in changed
+                f'{record.target_id} {record.state.value} '
+                f'{record.software_version}'
+                for record in changed
             ]
             self._announce('store', states, removed)
 
@@ -80,7 +82,8 @@
     def _announce_view(self, view: LeaderView) -> None:
         if view.targets or view.targets_gone:
             states = [
-                f'{target.target_id} {target.state}' for target in view.targets
+                f'{target.target_id} {target.state} {target.software_version}'
+                for target in view.targets
             ]
             self._announce('leader', states, list(view.targets_gone))
 
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -43,6 +43,18 @@
     When a caller asks g1 for a stream of m0 at /chat/
     Then the response is 200 with 5 events in order
 
+  Scenario: A broken stream goes on at the software version that began it
+    Given e2 runs another software version
+    And the next stream of an engine breaks after 2 events
+    When a caller asks g1 for a stream of m0 at /chat/
+    Then the response is 200 with 5 events in order
+    And it was run at 1 software version
+
+  Scenario: Callers take streams up at another gateway after the death of the first
+    Given e2 runs another software version
+    When g1 is killed during 8 streams of m0 and their callers go on at g2
+    Then each stream was completed by the software version that began it
+
   Scenario: A broken stream that may not be resumed is left incomplete
     Given the next stream of an engine breaks after 2 events
     When a caller asks g1 for a stream of m0 at /report/
--- a/tools/standins/route_engine.py
+++ b/tools/standins/route_engine.py
@@ -74,6 +74,7 @@
     :param event_seconds: time between two events of a stream.
     :param events: number of events in a complete stream.
     :param started_ms: start time, in milliseconds since the epoch.
+    :param software_version: version in the registered entry.
     :param models: adapters of each loaded model.
     :param on_disk: models with a copy of the weights on the local disk.
     :param busy: a model is being loaded or unloaded.
@@ -98,6 +99,7 @@
     event_seconds: float = 0.01
     events: int = 5
     started_ms: int = 1
+    software_version: str = 'v1'
     models: dict[str, set[str]] = field(default_factory=dict)
     on_disk: set[str] = field(default_factory=set)
     state: str = 'ready'
@@ -120,7 +122,7 @@
             'service': self.service,
             'addr': self.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.software_version,
             'slots': 8,
             'state': self.state,
             'cold_left_ms': 0,
