--- a/cowsliprack/coordination/engine_index.py
+++ b/cowsliprack/coordination/engine_index.py
@@ -1,7 +1,7 @@
 """Index of the models and requests on the engines of a service."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from cowsliprack.state.engine_state import EngineState
@@ -60,6 +60,20 @@
         """
         return not self.has_copy(model) and model not in self.pending_models
 
+    def is_pending(
+        self, model: str, fits: Callable[[EngineState], bool]
+    ) -> bool:
+        """Return whether an engine that fits is about to load a model.
+
+        :param model: its name.
+        :param fits: whether an engine counts.
+        """
+        return model in self.pending_models and any(
+            fits(engine)
+            and model in {engine.assigned_model, engine.loading_model()}
+            for engine in self.usable
+        )
+
     def only_copy_risk(self, engine: EngineState) -> float:
         """Return the probability that a cold load evicts an only copy.
 
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -69,6 +69,8 @@
     :param target_at: earliest latency target among the others, seconds.
     :param gives_up_at: when the last request times out, seconds.
     :param since: when the oldest request started to wait, seconds.
+    :param software_version: version of the engine that must run them; empty
+        for any.
     """
 
     service: str
@@ -79,6 +81,7 @@
     gives_up_at: float
     since: float
     late: int = 0
+    software_version: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +91,7 @@
     :param count: waiting requests; 0 for an additional replica.
     :param benefit: weighted number of requests that a load now serves in time.
     :param target_at: earliest latency target of the requests, seconds.
+    :param software_version: version of the engine; empty for any.
     """
 
     model: str
@@ -95,6 +99,15 @@
     adapter: str = ''
     benefit: float = 0
     target_at: float = math.inf
+    software_version: str = ''
+
+    def fits(self, engine: EngineState) -> bool:
+        """Return whether an engine runs the software version.
+
+        :param engine: an engine of the service.
+        """
+        version = engine.record.software_version
+        return self.software_version in {'', version}
 
 
 @dataclass(frozen=True, slots=True)
@@ -275,6 +288,7 @@
                 demand.adapter,
                 benefit_by_model[demand.model],
                 demand.target_at,
+                demand.software_version,
             )
             for demand in groups
         ]
@@ -305,7 +319,11 @@
         self, candidate: _LoadCandidate, now: float
     ) -> list[EngineOrder]:
         """Return the orders for a candidate if an engine has room for it."""
-        offering = self._index.offering(candidate.model)
+        offering = [
+            engine
+            for engine in self._index.offering(candidate.model)
+            if candidate.fits(engine)
+        ]
         if candidate.count and offering:
             order = plan_adapter(
                 _without_limit(offering) or offering,
@@ -315,9 +333,8 @@
                 now,
             )
             return [order] if order else []
-        if (
-            self._cancel_eviction(candidate.model)
-            or candidate.model in self._index.pending_models
+        if self._cancel_eviction(candidate) or self._index.is_pending(
+            candidate.model, candidate.fits
         ):
             return []
         return self._assign_engine(candidate, now)
@@ -381,9 +398,12 @@
                 )
         return order
 
-    def _cancel_eviction(self, model: str) -> bool:
+    def _cancel_eviction(self, candidate: _LoadCandidate) -> bool:
         """Offer a model again if its unload has not been ordered yet."""
+        model = candidate.model
         for engine in self._index.holding_by_model[model]:
+            if not candidate.fits(engine):
+                continue
             unloading = engine.order is not None and (
                 engine.order.model == model and not engine.order.adapter
             )
@@ -406,7 +426,7 @@
         copies = [
             engine
             for engine in self._index.copies_by_model[name]
-            if name not in engine.adapters_by_model
+            if name not in engine.adapters_by_model and candidate.fits(engine)
         ]
         if not copies and not self._may_load_cold(candidate, now):
             return []
@@ -414,6 +434,7 @@
             placement
             for engine in copies or self._index.usable
             if engine.order is None
+            and candidate.fits(engine)
             and not engine.assigned_model
             and name not in engine.adapters_by_model
             for placement in self._placements(engine, candidate, now)
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -1,8 +1,11 @@
 """State that the leader of a region keeps: engines, demand and members."""
 
+import zlib
 from collections import Counter
 from dataclasses import dataclass, field
 
+import msgspec
+
 from cowsliprack.coordination.model_scheduler import GroupDemand, ModelScheduler
 from cowsliprack.coordination.target_limits import (
     AVOIDED_SECONDS,
@@ -15,6 +18,7 @@
     EngineView,
     LeaderView,
     MemberReport,
+    PeerView,
     WaitingGroup,
 )
 from cowsliprack.protocol.target import OrderKind
@@ -98,6 +102,8 @@
     _changed_by_id: dict[str, int] = field(default_factory=dict)
     _gone_by_id: dict[str, int] = field(default_factory=dict)
     _limit_reports: list[ReportedUses] = field(default_factory=list)
+    _peers: tuple[PeerView, ...] = ()
+    _peers_digest: int = 0
 
     def apply_routing_table(self, table: RoutingTable) -> None:
         """Apply the current configuration.
@@ -160,13 +166,13 @@
         :param service: its name.
         :param now: seconds.
         """
-        by_key: dict[tuple[str, str], GroupDemand] = {}
+        by_key: dict[tuple[str, str, str], GroupDemand] = {}
         for member in self._live_members(now):
             age = now - member.seen_at
             for group in member.report.waiting:
                 if group.service != service:
                     continue
-                key = (group.model, group.adapter)
+                key = (group.model, group.adapter, group.software_version)
                 by_key[key] = _merge_demand(
                     by_key.get(key),
                     _group_demand(group, now, age),
@@ -201,6 +207,31 @@
             and now - engine.probed_at > _CHECK_INTERVAL_SECONDS
         ]
 
+    def refresh_peers(self, now: float) -> bool:
+        """Update the list of instances; return whether it has changed.
+
+        :param now: seconds.
+        """
+        reports = sorted(
+            (
+                member.report
+                for member in self._live_members(now)
+                if not member.report.leaving
+            ),
+            key=lambda report: report.instance_id,
+        )
+        peers = tuple(
+            PeerView(
+                report.instance_id, report.address, report.zone, report.boot
+            )
+            for report in reports
+        )
+        if peers == self._peers:
+            return False
+        self._peers = peers
+        self._peers_digest = zlib.crc32(msgspec.msgpack.encode(peers))
+        return True
+
     def refresh_views(self, now: float) -> bool:
         """Update the engine views; return whether any has changed.
 
@@ -241,6 +272,7 @@
         base = report.view_sequence if is_current_term else 0
         stamp = member.stamp
         member.stamp = 0
+        digest = self._peers_digest
         return LeaderView(
             fencing=self.fencing,
             sequence=self.sequence,
@@ -260,6 +292,8 @@
             ),
             members=self.member_count(now),
             limits=divide_limits(report.instance_id, self._limit_reports),
+            peers=() if report.peers_digest == digest else self._peers,
+            peers_digest=digest,
         )
 
     def apply_limits(self, now: float) -> None:
@@ -428,6 +462,7 @@
         gives_up_at=now + group.patience - age,
         since=now - group.waited - age,
         late=group.late,
+        software_version=group.software_version,
     )
 
 
@@ -445,6 +480,7 @@
         gives_up_at=max(previous.gives_up_at, other.gives_up_at),
         since=min(previous.since, other.since),
         late=previous.late + other.late,
+        software_version=previous.software_version,
     )
 
 
--- /dev/null
+++ b/cowsliprack/coordination/stream_origins.py
@@ -0,0 +1,213 @@
+"""Software versions that began streams, and who keeps them.
+
+What two software versions of a service write does not fit into one stream. An
+instance that a caller asks to go on with a stream must therefore know which
+version began it, also after the death of the instance that sent it. While all
+targets of a service run one version, nothing needs to be sent.
+"""
+
+import hashlib
+import math
+import zlib
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from functools import partial
+
+from cowsliprack.protocol.gateway_messages import PeerView
+from cowsliprack.state.stream_origin import StreamOrigin
+from cowsliprack.state.target_registry import TargetRegistry
+
+# Time for which a stream may still be taken up, and for which a version that
+# has left may have begun one; several times the time limits of routes.
+ORIGIN_LIFETIME_SECONDS = 120
+# Number of origins that are stored; about 4 MB.
+MAX_ORIGINS = 20_000
+# Instances of an availability zone that may keep origins; bounds the number of
+# connections between instances.
+_MAX_CANDIDATES_PER_ZONE = 3
+# Instances that keep an origin, or one of each zone if there are more zones.
+# One of them may be the instance that began the stream.
+_KEEPERS = 4
+_KEY_BYTES = 12
+
+
+def origin_key(organisation: str, attempt_id: str) -> str:
+    """Return the key under which the origin of a stream is stored.
+
+    :param organisation: name of the caller's organisation, empty on open
+        routes.
+    :param attempt_id: id of the caller's attempt that began the stream.
+    :returns: 24 hexadecimal digits.
+    """
+    text = f'{organisation}\n{attempt_id}'.encode()
+    return hashlib.blake2b(text, digest_size=_KEY_BYTES).hexdigest()
+
+
+def keepers(key: str, peers: Iterable[PeerView]) -> list[PeerView]:
+    """Return the instances that keep an origin, at least one of each zone.
+
+    All instances choose the same ones, and a change of the peers moves few
+    origins (rendezvous hashing).
+
+    :param key: see ``origin_key``.
+    :param peers: instances of the region, ordered by id.
+    """
+    ranked = sorted(_candidates(peers), key=partial(_weight, key), reverse=True)
+    zones: set[str] = set()
+    chosen = []
+    others = []
+    for peer in ranked:
+        is_first = peer.zone not in zones
+        zones.add(peer.zone)
+        (chosen if is_first else others).append(peer)
+    return [*chosen, *others[: max(_KEEPERS - len(chosen), 0)]]
+
+
+def _candidates(peers: Iterable[PeerView]) -> list[PeerView]:
+    count_by_zone: Counter[str] = Counter()
+    candidates = []
+    for peer in peers:
+        count_by_zone[peer.zone] += 1
+        if count_by_zone[peer.zone] <= _MAX_CANDIDATES_PER_ZONE:
+            candidates.append(peer)
+    return candidates
+
+
+def _weight(key: str, peer: PeerView) -> int:
+    return zlib.crc32(f'{key}/{peer.instance_id}'.encode())
+
+
+@dataclass(slots=True)
+class _Entry:
+    origin: StreamOrigin
+    expires_at: float
+    is_own: bool
+
+
+@dataclass(slots=True)
+class StreamOrigins:
+    """Origins of streams, of this instance and of others, by key."""
+
+    _entries_by_key: dict[str, _Entry] = field(default_factory=dict)
+
+    def record(
+        self,
+        key: str,
+        origin: StreamOrigin,
+        now: float,
+        *,
+        is_own: bool,
+    ) -> None:
+        """Record the origin of a stream; a later one replaces it.
+
+        :param key: see ``origin_key``.
+        :param origin: of the stream.
+        :param now: seconds.
+        :param is_own: whether this instance began the stream.
+        """
+        entries = self._entries_by_key
+        # The newest is the last, so that the oldest is dropped at the bound.
+        entries.pop(key, None)
+        entries[key] = _Entry(origin, now + ORIGIN_LIFETIME_SECONDS, is_own)
+        while entries:
+            oldest = next(iter(entries))
+            is_expired = entries[oldest].expires_at <= now
+            if len(entries) <= MAX_ORIGINS and not is_expired:
+                return
+            entries.pop(oldest)
+
+    def find(self, key: str, now: float) -> StreamOrigin | None:
+        """Return the origin of a stream, if it is known.
+
+        :param key: see ``origin_key``.
+        :param now: seconds.
+        """
+        entry = self._entries_by_key.get(key)
+        if entry is None or entry.expires_at <= now:
+            return None
+        return entry.origin
+
+    def own(self, service: str, now: float) -> list[tuple[str, StreamOrigin]]:
+        """Return the streams of a service that this instance began.
+
+        :param service: name of the service.
+        :param now: seconds.
+        """
+        return [
+            (key, entry.origin)
+            for key, entry in self._entries_by_key.items()
+            if entry.is_own
+            and entry.expires_at > now
+            and entry.origin.service == service
+        ]
+
+
+@dataclass(slots=True)
+class VersionHistory:
+    """Software versions that targets of each service have run lately.
+
+    :param is_joined: whether the history of another instance is included.
+        Without it, versions that left before this process began are missing.
+    """
+
+    is_joined: bool = False
+    _running_by_service: dict[str, set[str]] = field(default_factory=dict)
+    _last_seen: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def observe(self, registry: TargetRegistry, now: float) -> None:
+        """Apply a new list of targets.
+
+        :param registry: all registered targets.
+        :param now: seconds.
+        """
+        self._mark_running(now)
+        running: dict[str, set[str]] = {}
+        for record in registry.records_by_id.values():
+            if record.software_version:
+                versions = running.setdefault(record.service, set())
+                versions.add(record.software_version)
+        self._running_by_service = running
+        self._mark_running(now)
+
+    def join(
+        self, ages_by_service: Mapping[str, Mapping[str, float]], now: float
+    ) -> None:
+        """Include the history of another instance.
+
+        :param ages_by_service: see ``ages``.
+        :param now: seconds.
+        """
+        self.is_joined = True
+        for service, ages in ages_by_service.items():
+            for version, age in ages.items():
+                known = self._last_seen.get((service, version), -math.inf)
+                self._last_seen[service, version] = max(known, now - age)
+
+    def versions(self, now: float) -> dict[str, set[str]]:
+        """Return the versions of each service that may have begun a stream.
+
+        :param now: seconds.
+        """
+        return {service: set(ages) for service, ages in self.ages(now).items()}
+
+    def ages(self, now: float) -> dict[str, dict[str, float]]:
+        """Return the seconds since each version of each service was seen.
+
+        :param now: seconds.
+        """
+        self._mark_running(now)
+        ages_by_service: dict[str, dict[str, float]] = {}
+        for (service, version), seen_at in self._last_seen.items():
+            ages_by_service.setdefault(service, {})[version] = now - seen_at
+        return ages_by_service
+
+    def _mark_running(self, now: float) -> None:
+        for service, versions in self._running_by_service.items():
+            for version in versions:
+                self._last_seen[service, version] = now
+        self._last_seen = {
+            name: seen_at
+            for name, seen_at in self._last_seen.items()
+            if now - seen_at < ORIGIN_LIFETIME_SECONDS
+        }
--- a/cowsliprack/coordination/waiting_requests.py
+++ b/cowsliprack/coordination/waiting_requests.py
@@ -3,12 +3,24 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import anyio
 
 from cowsliprack.protocol.gateway_messages import WaitingGroup
 
-GroupKey = tuple[str, str, str]
+
+class GroupKey(NamedTuple):
+    """What requests wait for.
+
+    :param adapter: empty for the model itself.
+    :param software_version: version of the engine; empty for any.
+    """
+
+    service: str
+    model: str
+    adapter: str
+    software_version: str = ''
 
 
 @dataclass(slots=True, eq=False)
@@ -30,7 +42,7 @@
 
 @dataclass(slots=True)
 class WaitingRequests:
-    """Waiting requests by service, model and adapter.
+    """Waiting requests by what they wait for.
 
     :param closed: whether the instance is shutting down and no request may
         wait.
@@ -86,11 +98,8 @@
     in_time = [
         waiter.target_at - now for waiter in group if waiter.target_at > now
     ]
-    service, model, adapter = key
     return WaitingGroup(
-        service=service,
-        model=model,
-        adapter=adapter,
+        **key._asdict(),
         count=len(group),
         target_in=min(in_time) if in_time else -1,
         patience=max(waiter.gives_up_at for waiter in group) - now,
--- a/cowsliprack/exceptions.py
+++ b/cowsliprack/exceptions.py
@@ -30,6 +30,8 @@
     deadline_passed = 'deadline_passed'
     cold_start_unavailable = 'cold_start_unavailable'
     no_target = 'no_target'
+    version_unknown = 'version_unknown'
+    version_unavailable = 'version_unavailable'
     store_unavailable = 'store_unavailable'
     configuration_stale = 'configuration_stale'
     poison_request = 'poison_request'
@@ -87,6 +89,8 @@
         ErrorKind.deadline_passed: ErrorResponse(503, _NOT_RUN, 5),
         ErrorKind.cold_start_unavailable: ErrorResponse(503, _NOT_RUN, 10),
         ErrorKind.no_target: ErrorResponse(503, _NOT_RUN, 5),
+        ErrorKind.version_unknown: ErrorResponse(503, _NOT_RUN, 1),
+        ErrorKind.version_unavailable: ErrorResponse(503, _NOT_RUN, 2),
         ErrorKind.store_unavailable: ErrorResponse(503, _NOT_RUN, 10),
         ErrorKind.configuration_stale: ErrorResponse(503, _NOT_RUN, 10),
         ErrorKind.poison_request: ErrorResponse(422, _NOT_RUN),
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -14,6 +14,8 @@
     :param patience: seconds until the last request times out.
     :param late: number of requests that have missed their latency target.
     :param waited: seconds that the oldest request has waited.
+    :param software_version: version of the engine that must run the requests;
+        empty for any.
     """
 
     service: str
@@ -24,6 +26,7 @@
     patience: float
     late: int = 0
     waited: float = 0
+    software_version: str = ''
 
 
 class EngineUse(msgspec.Struct, frozen=True, array_like=True):
@@ -88,6 +91,7 @@
         process started.
     :param leaving: whether the instance is shutting down.
     :param limits: limits that targets have named.
+    :param peers_digest: digest of the sender's list of instances; 0 for none.
     """
 
     instance_id: str
@@ -106,6 +110,7 @@
     started_by_model: dict[str, int] = {}
     leaving: bool = False
     limits: tuple[LimitUse, ...] = ()
+    peers_digest: int = 0
 
 
 class EngineView(msgspec.Struct, frozen=True, array_like=True):
@@ -142,6 +147,19 @@
     software_version: str = ''
 
 
+class PeerView(msgspec.Struct, frozen=True, array_like=True):
+    """An instance that reports to the leader.
+
+    :param address: address at which other instances reach it.
+    :param boot: identifies its process.
+    """
+
+    instance_id: str
+    address: str
+    zone: str
+    boot: str
+
+
 class ConfigurationCopy(PeerMessage, frozen=True):
     """The configuration in force, sent to an instance with an older one.
 
@@ -179,6 +197,11 @@
     :param lease_left: seconds until the leader stops leading unless it renews
         its lease; 0 when it has stopped.
     :param limits: limits of targets and the member's shares of them.
+    :param peers: instances of the region, ordered by id; empty if the member
+        has this list.
+    :param peers_digest: digest of that list; 0 from earlier builds.
+    :param version_ages: by service and software version, the seconds since a
+        target has run it; sent with ``peers``.
     """
 
     fencing: int
@@ -200,6 +223,9 @@
     lease_version: int | None = None
     lease_left: float = 0
     limits: tuple[LimitShare, ...] = ()
+    peers: tuple[PeerView, ...] = ()
+    peers_digest: int = 0
+    version_ages: dict[str, dict[str, float]] = {}
 
 
 class CreditAsk(PeerMessage, frozen=True):
@@ -232,6 +258,57 @@
     number: int = 0
 
 
+class StreamsBegun(PeerMessage, frozen=True):
+    """Streams that the sender has sent to targets of one software version.
+
+    :param keys: see ``stream_origins.origin_key``.
+    """
+
+    service: str
+    software_version: str
+    keys: tuple[str, ...]
+
+
+class OriginQuestion(PeerMessage, frozen=True):
+    """Question of an instance which software version began a stream.
+
+    :param address: address at which other instances reach the sender.
+    :param number: number of the question; repeated in the answer.
+    :param key: see ``stream_origins.origin_key``.
+    """
+
+    instance_id: str
+    address: str
+    number: int
+    key: str
+
+
+class OriginAnswer(PeerMessage, frozen=True):
+    """Answer to the question which software version began a stream.
+
+    :param number: number of the question.
+    :param is_known: whether the sender knows the origin of the stream.
+    :param service: service that began it.
+    :param software_version: version that began it.
+    :param version_ages: by service and software version, the seconds since a
+        target has run it.
+    """
+
+    instance_id: str
+    number: int
+    is_known: bool
+    service: str = ''
+    software_version: str = ''
+    version_ages: dict[str, dict[str, float]] = {}
+
+
 GatewayMessage = (
-    MemberReport | LeaderView | CreditAsk | CreditAnswer | ConfigurationCopy
+    MemberReport
+    | LeaderView
+    | CreditAsk
+    | CreditAnswer
+    | ConfigurationCopy
+    | StreamsBegun
+    | OriginQuestion
+    | OriginAnswer
 )
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -148,6 +148,7 @@
                 poison=poison.tracker,
             ),
             poison=poison,
+            origins=self.region.origins,
             apply_retry_limit=lambda budget: apply_retry_limit(
                 budget,
                 retry_limit,
--- /dev/null
+++ b/cowsliprack/transport/origin_exchange.py
@@ -0,0 +1,274 @@
+"""Exchanges the origins of streams between the instances of a region."""
+
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import structlog
+
+from cowsliprack.coordination.stream_origins import (
+    StreamOrigins,
+    VersionHistory,
+    keepers,
+)
+from cowsliprack.logs import log_decision
+from cowsliprack.protocol.gateway_messages import (
+    LeaderView,
+    OriginAnswer,
+    OriginQuestion,
+    PeerView,
+    StreamsBegun,
+)
+from cowsliprack.protocol.peer import AnyPeerMessage
+from cowsliprack.state.stream_origin import StreamOrigin
+from cowsliprack.state.target_registry import TargetRegistry
+
+# Longest wait for the answers of keepers; a round trip takes milliseconds, and
+# an instance that does not answer in this time is frozen, gone or cut off.
+_ANSWER_SECONDS = 0.25
+# Time after which a leader to which nobody has reported is alone; others report
+# several times a second.
+_ALONE_SECONDS = 3
+# Origins in one message, about 6 KB.
+_MAX_BATCH = 200
+
+# Instances that a log line names at most.
+_MAX_LOGGED_PEERS = 20
+
+_log = structlog.get_logger('cowsliprack.region')
+
+Deliver = Callable[[str, str, AnyPeerMessage], None]
+
+
+@dataclass(slots=True)
+class _Question:
+    """A question to keepers.
+
+    :param open_ids: keepers that have not answered yet.
+    """
+
+    open_ids: set[str]
+    origin: StreamOrigin | None = None
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+
+@dataclass(slots=True)
+class OriginExchange:
+    """Records which version began a stream, and finds it out for others.
+
+    :param instance_id: id of this instance.
+    :param address: address at which other instances reach this one.
+    :param deliver: sends a message to an instance (id, address, message).
+    :param clock: seconds; must keep running during suspension.
+    :param split_services: returns the services that share a route with others.
+    :param peers: instances of the region, ordered by id.
+    :param peers_digest: digest of ``peers``; 0 before the first list.
+    :param peers_at: time of that list, seconds.
+    """
+
+    instance_id: str
+    address: str
+    deliver: Deliver
+    clock: Callable[[], float]
+    split_services: Callable[[], set[str]] = set
+    origins: StreamOrigins = field(default_factory=StreamOrigins)
+    history: VersionHistory = field(default_factory=VersionHistory)
+    peers: tuple[PeerView, ...] = ()
+    peers_digest: int = 0
+    peers_at: float = 0
+    _announced_services: set[str] = field(default_factory=set)
+    _last_number: int = 0
+    _question_by_number: dict[int, _Question] = field(default_factory=dict)
+
+    def begin(self, key: str, origin: StreamOrigin) -> None:
+        """Record the target to which a new stream is sent.
+
+        :param key: see ``origin_key``.
+        :param origin: service and version of the target.
+        """
+        now = self.clock()
+        if self.origins.find(key, now) == origin:
+            return
+        self.origins.record(key, origin, now, is_own=True)
+        if origin.service in self._announced_services:
+            self._announce([(key, origin)])
+
+    def registry_changed(self, registry: TargetRegistry) -> None:
+        """Apply a new list of targets.
+
+        :param registry: all registered targets.
+        """
+        self.history.observe(registry, self.clock())
+        self.update_announced()
+
+    def update_announced(self) -> None:
+        """Announce the streams of services that can no longer be guessed."""
+        now = self.clock()
+        versions_by_service = self.history.versions(now)
+        announced = self.split_services() | {
+            service
+            for service, versions in versions_by_service.items()
+            if len(versions) > 1
+        }
+        if announced == self._announced_services:
+            return
+        log_decision(
+            'announced_services',
+            sorted(announced),
+            'several software versions or services may have begun a stream',
+            versions={
+                service: sorted(versions_by_service.get(service, ()))
+                for service in announced
+            },
+        )
+        new = announced - self._announced_services
+        self._announced_services = announced
+        self._announce_own(new)
+
+    def apply_peers(self, view: LeaderView) -> None:
+        """Apply a new list of instances; new ones learn the own streams.
+
+        :param view: of the leader; one without a list changes nothing.
+        """
+        if not view.peers or view.peers_digest == self.peers_digest:
+            return
+        self.peers = view.peers
+        self.peers_digest = view.peers_digest
+        _log.info(
+            'peers',
+            peers=[peer.instance_id for peer in view.peers[:_MAX_LOGGED_PEERS]],
+            count=len(view.peers),
+            leader=view.instance_id,
+        )
+        self.peers_at = self.clock()
+        if view.instance_id != self.instance_id:
+            self.history.join(view.version_ages, self.peers_at)
+        self.update_announced()
+        self._announce_own(self._announced_services)
+
+    async def find(
+        self, key: str, services: tuple[str, ...]
+    ) -> StreamOrigin | None:
+        """Return what may go on with a stream; ``None`` if it is unknown.
+
+        :param key: see ``origin_key``.
+        :param services: to which the stream's route leads.
+        """
+        now = self.clock()
+        origin = self.origins.find(key, now)
+        if origin is not None:
+            return origin
+        possible = self._possible_origins(services, now)
+        if len(possible) == 1 and self.history.is_joined:
+            return possible.pop()
+        question = await self._ask(key)
+        if question.origin is not None:
+            return question.origin
+        possible = self._possible_origins(services, now)
+        is_sure = self.history.is_joined or self._is_alone(now)
+        return possible.pop() if len(possible) == 1 and is_sure else None
+
+    def _is_alone(self, now: float) -> bool:
+        return len(self.peers) == 1 and now - self.peers_at >= _ALONE_SECONDS
+
+    def _possible_origins(
+        self, services: tuple[str, ...], now: float
+    ) -> set[StreamOrigin]:
+        versions_by_service = self.history.versions(now)
+        return {
+            StreamOrigin(service, version)
+            for service in services
+            for version in versions_by_service.get(service) or {''}
+        }
+
+    def version_ages(self) -> dict[str, dict[str, float]]:
+        """Return the seconds since each version of each service was seen."""
+        return self.history.ages(self.clock())
+
+    def apply_begun(self, message: StreamsBegun) -> None:
+        """Keep the origins that another instance has sent.
+
+        :param message: of the instance that began the streams.
+        """
+        origin = StreamOrigin(message.service, message.software_version)
+        now = self.clock()
+        for key in message.keys:
+            self.origins.record(key, origin, now, is_own=False)
+
+    def answer(self, question: OriginQuestion) -> None:
+        """Answer the question of another instance.
+
+        :param question: of the instance that a caller asks to go on.
+        """
+        now = self.clock()
+        origin = self.origins.find(question.key, now)
+        reply = OriginAnswer(
+            instance_id=self.instance_id,
+            number=question.number,
+            is_known=origin is not None,
+            service=origin.service if origin else '',
+            software_version=origin.software_version if origin else '',
+            version_ages=self.version_ages(),
+        )
+        self.deliver(question.instance_id, question.address, reply)
+
+    def apply_answer(self, answer: OriginAnswer) -> None:
+        """Apply the answer of a keeper.
+
+        :param answer: ignored if its question has been given up.
+        """
+        question = self._question_by_number.get(answer.number)
+        if question is None:
+            return
+        question.open_ids.discard(answer.instance_id)
+        self.history.join(answer.version_ages, self.clock())
+        if answer.is_known:
+            question.origin = StreamOrigin(
+                answer.service, answer.software_version
+            )
+        question.changed.set()
+        question.changed = anyio.Event()
+
+    async def _ask(self, key: str) -> _Question:
+        asked = [
+            peer
+            for peer in keepers(key, self.peers)
+            if peer.instance_id != self.instance_id
+        ]
+        question = _Question({peer.instance_id for peer in asked})
+        self._last_number += 1
+        number = self._last_number
+        self._question_by_number[number] = question
+        message = OriginQuestion(self.instance_id, self.address, number, key)
+        try:
+            for peer in asked:
+                self.deliver(peer.instance_id, peer.address, message)
+            with anyio.move_on_after(_ANSWER_SECONDS):
+                while question.open_ids and question.origin is None:
+                    await question.changed.wait()
+        finally:
+            self._question_by_number.pop(number)
+        return question
+
+    def _announce_own(self, services: set[str]) -> None:
+        now = self.clock()
+        for service in services:
+            self._announce(self.origins.own(service, now))
+
+    def _announce(self, begun: list[tuple[str, StreamOrigin]]) -> None:
+        keys_by_receiver: defaultdict[
+            tuple[PeerView, StreamOrigin], list[str]
+        ] = defaultdict(list)
+        for key, origin in begun:
+            for peer in keepers(key, self.peers):
+                if peer.instance_id != self.instance_id:
+                    keys_by_receiver[peer, origin].append(key)
+        for (peer, origin), keys in keys_by_receiver.items():
+            for first in range(0, len(keys), _MAX_BATCH):
+                message = StreamsBegun(
+                    origin.service,
+                    origin.software_version,
+                    tuple(keys[first : first + _MAX_BATCH]),
+                )
+                self.deliver(peer.instance_id, peer.address, message)
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -18,6 +18,9 @@
     CreditAsk,
     LeaderView,
     MemberReport,
+    OriginAnswer,
+    OriginQuestion,
+    StreamsBegun,
 )
 from cowsliprack.protocol.peer import (
     AnyPeerMessage,
@@ -26,6 +29,7 @@
 )
 from cowsliprack.state.routing_table import OrganisationLimits
 from cowsliprack.transport.lease_calls import execute_lease_action
+from cowsliprack.transport.origin_exchange import OriginExchange
 from cowsliprack.transport.region_notices import RegionNotices
 from cowsliprack.transport.region_term import RegionContext, RegionTerm
 
@@ -78,6 +82,7 @@
     _address_by_peer: dict[str, str] = field(default_factory=dict)
     _reconnected_at: float = 0
     _notices: RegionNotices = field(init=False)
+    origins: OriginExchange = field(init=False)
     _credit_request_count: int = 0
     _pending_credit_by_number: dict[int, _PendingCreditRequest] = field(
         default_factory=dict
@@ -95,6 +100,13 @@
             context.clock,
         )
         context.poison.announce = self._announce
+        self.origins = OriginExchange(
+            context.instance_id,
+            context.address,
+            self._deliver,
+            context.clock,
+            lambda: context.table().split_services(),
+        )
         self.lease = Lease(
             context.region,
             context.instance_id,
@@ -117,13 +129,15 @@
         self._report_due.set()
 
     def configuration_changed(self) -> None:
-        """Pass a new configuration to the term, if this instance leads."""
+        """Apply a new configuration."""
+        self.origins.update_announced()
         if self.term is not None:
             self.term.apply_configuration()
 
     def registry_changed(self) -> None:
         """Apply a new list of targets."""
         registry = self.context.fleet.registry
+        self.origins.registry_changed(registry)
         self.context.target_selector.prune(registry.records_by_id)
         self.context.waiting_requests.notify_all()
         if self.term is not None:
@@ -228,7 +242,12 @@
     async def _lead(self) -> None:
         while True:
             if self.is_leading() and not self.leaving:
-                term = RegionTerm(self.context, self.lease, self._deliver)
+                term = RegionTerm(
+                    self.context,
+                    self.lease,
+                    self._deliver,
+                    self.origins.version_ages,
+                )
                 self.term = term
                 await term.run()
                 self.term = None
@@ -270,6 +289,12 @@
                 self.term.apply_notices(message)
             case CreditAnswer():
                 self._apply_credit_answer(message)
+            case StreamsBegun():
+                self.origins.apply_begun(message)
+            case OriginQuestion():
+                self.origins.answer(message)
+            case OriginAnswer():
+                self.origins.apply_answer(message)
             case ConfigurationCopy():
                 self.context.apply_configuration_copy(message.spec)
                 self._report_due.set()
@@ -301,6 +326,7 @@
         self.context.target_selector.limits.apply_division(
             view.limits, view.members, now
         )
+        self.origins.apply_peers(view)
         self._apply_store_readings(view)
         self.context.fleet.apply_view(
             view.engines,
@@ -380,6 +406,7 @@
             started_by_model=dict(context.target_selector.started_by_model),
             leaving=self.leaving,
             limits=context.target_selector.limits.uses(now),
+            peers_digest=self.origins.peers_digest,
         )
         is_silent = now - context.fleet.updated_at > _RECONNECT_AFTER_SECONDS
         if is_silent and now - self._reconnected_at > _RECONNECT_AFTER_SECONDS:
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -105,6 +105,8 @@
     :param context: components shared with the rest of the instance.
     :param lease: lease that has just been acquired.
     :param deliver: sends a message to an instance (id, address, message).
+    :param version_ages: returns the seconds since each software version of each
+        service was seen.
     """
 
     def __init__(
@@ -112,11 +114,13 @@
         context: RegionContext,
         lease: Lease,
         deliver: Deliver,
+        version_ages: Callable[[], dict[str, dict[str, float]]],
     ) -> None:
         """Create an empty state; no order is sent before ``run``."""
         self._context = context
         self._lease = lease
         self._deliver = deliver
+        self._version_ages = version_ages
         self._ended = False
         self._plan_due = anyio.Event()
         self._leader_credit = LeaderTokenCredit(context.credit.window)
@@ -231,7 +235,9 @@
         organisations = self._context.table().organisations_by_name.values()
         instances = self.state.member_count(now)
         self._leader_credit.limit(list(organisations), instances, now)
-        self._send_views(to_all=self.state.refresh_views(now))
+        has_new_peers = self.state.refresh_peers(now)
+        has_new_views = self.state.refresh_views(now)
+        self._send_views(to_all=has_new_views or has_new_peers)
 
     def _log_missing_weights(self, now: float) -> None:
         if now - self._missing_logged_at < _MISSING_LOG_INTERVAL_SECONDS:
@@ -278,8 +284,10 @@
         if member.stamp:
             proof_offset = context.freshness.proved_at - member.seen_at
         table = context.table()
+        view = self.state.view_for(member, now)
         view = msgspec.structs.replace(
-            self.state.view_for(member, now),
+            view,
+            version_ages=self._version_ages() if view.peers else {},
             generation=table.generation,
             proof_offset=proof_offset,
             **registry_changes(context.fleet.registry, report),
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -22,8 +22,10 @@
 from cowsliprack.protocol.sse import MAX_EVENT_BYTES
 from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.state.store_version import revision_of
+from cowsliprack.state.stream_origin import StreamOrigin
 from cowsliprack.state.target_registry import TargetRecord
 from cowsliprack.transport.bounded_body import MAX_ANSWER_BYTES, read_body
+from cowsliprack.transport.origin_exchange import OriginExchange
 from cowsliprack.transport.poison_watch import PoisonWatch
 from cowsliprack.transport.routed_request import RoutedRequest
 from cowsliprack.transport.target_client import SendTrace
@@ -57,6 +59,7 @@
 
     :param finder: chooses the target of each send.
     :param poison: counts crashes against requests and prompt parts.
+    :param origins: knows which software version began a stream.
     :param apply_retry_limit: sets the limit of a retry budget, which depends
         on the number of instances.
     :param table: returns the active routing table.
@@ -72,6 +75,7 @@
     target_selector: TargetSelector
     finder: TargetFinder
     poison: PoisonWatch
+    origins: OriginExchange
     apply_retry_limit: Callable[[RetryBudget], None]
     table: Callable[[], RoutingTable]
     demand_changed: Callable[[], None]
@@ -129,6 +133,8 @@
         )
 
     async def _serve_attempts(self, request: RoutedRequest) -> None:
+        if request.metadata.resume_after and request.may_be_taken_up():
+            await self._take_up(request)
         while True:
             target = await self.finder.find(request)
             try:
@@ -138,6 +144,30 @@
             else:
                 return
 
+    async def _take_up(self, request: RoutedRequest) -> None:
+        """Find out where a stream may go on that a caller takes up again."""
+        origin = await self.origins.find(
+            request.origin_key(request.metadata.continued_id),
+            tuple(name for name, _ in request.route.services),
+        )
+        log_decision(
+            'stream_origin',
+            origin.software_version if origin else None,
+            'a caller goes on with a stream',
+            request_id=request.metadata.request_id,
+            continued_id=request.metadata.continued_id,
+            service=origin.service if origin else request.service,
+            waited_ms=round((self.clock() - request.arrived_at) * 1000),
+        )
+        if origin is None:
+            raise ServingError(
+                ErrorKind.version_unknown,
+                'the software version that began the stream is not known',
+                retry_after=self.rng.uniform(0.3, 0.8),
+            )
+        request.service = origin.service
+        request.begun_version = origin.software_version
+
     async def _handle_failure(
         self,
         request: RoutedRequest,
@@ -269,6 +299,11 @@
         # The leader must know at once whether an engine can unload a model.
         if self.target_selector.own_running(target.target_id, model) == 1:
             self.demand_changed()
+        if request.may_be_taken_up() and not request.resume_after():
+            self.origins.begin(
+                request.origin_key(request.metadata.request_id),
+                StreamOrigin(request.service, target.software_version),
+            )
         request.in_flight_id = self.poison.on_send(
             request.digests, target.target_id
         )
@@ -479,6 +514,7 @@
         async for complete_events in _whole_events(response, splitter):
             has_events = True
             self._record_events(request, target, sent_at)
+            request.begun_version = target.software_version
             if not exchange.started:
                 await exchange.start_raw(response.status_code, returned)
             await exchange.write(complete_events)
--- a/cowsliprack/transport/routed_request.py
+++ b/cowsliprack/transport/routed_request.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from cowsliprack.coordination.stream_origins import origin_key
 from cowsliprack.protocol.dialect import RequestMetadata
 from cowsliprack.protocol.event_splitter import EventSplitter
 from cowsliprack.state.routing_table import (
@@ -9,6 +10,7 @@
     Repeatability,
     Route,
 )
+from cowsliprack.state.target_registry import TargetRecord
 from cowsliprack.transport.exchange import Exchange
 from cowsliprack.transport.target_client import SendTrace
 
@@ -33,6 +35,8 @@
         did not run it.
     :param in_flight_id: id of the current send among those that a crash of its
         target would end.
+    :param begun_version: software version that began the stream of which the
+        caller has events; empty if any target may run the request.
     :param trace: trace of a send whose result is still unknown.
     :param digest: identifies the request and its repetitions.
     :param part_digests: identify the parts of its prompt that other requests
@@ -60,6 +64,7 @@
     runs: int = 0
     may_have_run: bool = False
     in_flight_id: int = 0
+    begun_version: str = ''
     trace: SendTrace | None = None
     splitter: EventSplitter = field(default_factory=EventSplitter)
     first_byte_at: float = 0
@@ -75,6 +80,13 @@
         """Return the digests by which crashes of targets are counted."""
         return (self.digest, *self.part_digests)
 
+    def origin_key(self, attempt_id: str) -> str:
+        """Return the key under which the origin of its stream is stored.
+
+        :param attempt_id: id of the caller's attempt that began the stream.
+        """
+        return origin_key(self.organisation_name(), attempt_id)
+
     def first_byte_ms(self) -> int | None:
         """Return the time from arrival to the first byte, milliseconds."""
         if not self.first_byte_at:
@@ -96,6 +108,13 @@
         """
         return len(self.ran_on | {target_id}) <= self.route.max_attempts
 
+    def may_continue_at(self, target: TargetRecord) -> bool:
+        """Return whether what a target writes fits what the caller has.
+
+        :param target: a target of the request's service.
+        """
+        return self.begun_version in {'', target.software_version}
+
     def may_use_another_target(self, target_id: str) -> bool:
         """Return whether a target other than the current one may be tried.
 
@@ -103,6 +122,10 @@
         """
         return len(self.ran_on | {target_id}) < self.route.max_attempts
 
+    def may_be_taken_up(self) -> bool:
+        """Return whether the caller may go on with its stream elsewhere."""
+        return self.route.repeatability is Repeatability.resumable
+
     def is_repeatable(self) -> bool:
         """Return whether the request may run more than once."""
         return self.route.repeatability is not Repeatability.once
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -11,9 +11,13 @@
 from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.poison import PoisonTracker
 from cowsliprack.coordination.target_selector import TargetSelector
-from cowsliprack.coordination.waiting_requests import Waiter, WaitingRequests
+from cowsliprack.coordination.waiting_requests import (
+    GroupKey,
+    Waiter,
+    WaitingRequests,
+)
 from cowsliprack.exceptions import ErrorKind, ServingError
-from cowsliprack.state.routing_table import RoutingTable
+from cowsliprack.state.routing_table import Route, RoutingTable
 from cowsliprack.state.target_registry import TargetRecord
 from cowsliprack.transport.routed_request import RoutedRequest
 
@@ -79,7 +83,12 @@
         if limited:
             self._check_queue(request, limited, gives_up_at - now, now)
         waiter = Waiter(
-            key=(request.service, metadata.model, metadata.adapter),
+            key=GroupKey(
+                request.service,
+                metadata.model,
+                metadata.adapter,
+                request.begun_version,
+            ),
             since=request.arrived_at,
             target_at=request.target_at,
             gives_up_at=gives_up_at,
@@ -198,7 +207,10 @@
             now,
         )
         return [
-            record for record in found if request.may_send_to(record.target_id)
+            record
+            for record in found
+            if request.may_send_to(record.target_id)
+            and request.may_continue_at(record)
         ]
 
     def _pick(
@@ -275,7 +287,13 @@
             )
         services = {name for name, _ in route.services}
         if request.service not in services and not request.sends:
-            request.service = pick_service(route.services, self.rng)
+            self._leave_service(request, route)
+        if not self._is_version_running(request):
+            raise ServingError(
+                ErrorKind.version_unavailable,
+                'no target runs the software version that began the stream',
+                retry_after=self.rng.uniform(1, 2),
+            )
         seconds_refused = self.poison.seconds_refused(request.digests, now)
         if seconds_refused:
             raise ServingError(
@@ -284,6 +302,22 @@
                 retry_after=seconds_refused,
             )
 
+    def _leave_service(self, request: RoutedRequest, route: Route) -> None:
+        """Choose another service for a request whose route has moved."""
+        if request.begun_version:
+            raise ServingError(
+                ErrorKind.version_unavailable,
+                'the route no longer leads to the service of the stream',
+                retry_after=self.rng.uniform(1, 2),
+            )
+        request.service = pick_service(route.services, self.rng)
+
+    def _is_version_running(self, request: RoutedRequest) -> bool:
+        if not request.begun_version:
+            return True
+        ready = self.fleet.registry.ready_targets(request.service)
+        return any(request.may_continue_at(record) for record in ready)
+
     def _recheck_key(
         self,
         request: RoutedRequest,
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -449,3 +449,34 @@
     And e2 runs 1 requests for a
     When the scheduler plans
     Then a is offered by e2
+
+  Scenario Outline: A stream waits for a model at the software version <version>
+    Given an engine e1 of v1 with a, and c on disk
+    And an engine e2 of v2 with c, and c on disk
+    And an engine e3 of v2 with b, and b on disk
+    And 1 request waits for c at the software version <version>
+    When the scheduler plans
+    Then the orders are "<orders>"
+
+    Examples:
+      | version | orders    |
+      | v1      | e1 load c |
+      | v2      |           |
+      | v3      |           |
+
+  Scenario: A load at another software version is no reason to wait
+    Given an engine e1 of v1 with a, and c on disk
+    And an engine e2 of v2 with b, and c on disk
+    And 1 request waits for c at the software version v2
+    When the scheduler plans
+    Then the orders are "e2 load c"
+    Given 1 request waits for c at the software version v1
+    When the scheduler plans
+    Then the orders are "e1 load c"
+
+  Scenario: Only engines of the software version load from the weight store
+    Given an engine e1 of v1 with a, and a on disk
+    And an engine e2 of v2 with b, and b on disk
+    And 1 request waits for f at the software version v2
+    When the scheduler plans
+    Then the orders are "e2 load f"
--- a/tests/coordination/region_state.feature
+++ b/tests/coordination/region_state.feature
@@ -46,3 +46,16 @@
     When the instance reports generation 3
     And it sends a view every 0.05 seconds for 2 seconds
     Then the instance has been sent 3 copies of the configuration
+
+  Scenario: Requests that need different software versions are counted apart
+    Given two instances with requests for a, at v1 and at any version
+    Then 2 groups wait, one of them at v1
+
+  Scenario: Members learn the other instances once, and again after a restart
+    Given a leader with members i1 and i2
+    Then a member without a list gets i1 and i2
+    And a member with this list gets none
+    When i2 starts again
+    Then a member with the old list gets i1 and i2
+    When i2 reports that it is leaving
+    Then a member with the old list gets i1
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -88,3 +88,22 @@
       | bootstrap=false | no     |
       | bootstrap=      | no     |
       | other=1         | no     |
+
+  Scenario Outline: An entry of a target with the version <version>
+    When an entry with the version <version> is decoded
+    Then its software version is <decoded>
+
+    Examples:
+      | version  | decoded     |
+      | "v1.2"   | v1.2        |
+      | "2024-x" | 2024-x      |
+      | 7        | of no target |
+      | null     | of no target |
+
+  Scenario: A caller that takes up a stream names its attempt
+    When a request with "Last-Event-Id: 12" and "Resumes: abc" is read
+    Then it continues attempt "abc" after event "12"
+
+  Scenario: A relayed target keeps its software version
+    When a target of the software version "v1.2" is relayed to a member
+    Then the member knows the software version "v1.2"
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -1,5 +1,6 @@
 """Steps for the platform adapter."""
 
+import json
 import os
 import subprocess
 import sys
@@ -8,13 +9,25 @@
 
 from behave import given, then, when
 
+from cowsliprack.coordination.relayed_targets import (
+    apply_relayed_targets,
+    registry_changes,
+)
 from cowsliprack.exceptions import ConfigurationError
-from cowsliprack.platform.headers import forwarded_headers, stated_limit
+from cowsliprack.platform.headers import (
+    forwarded_headers,
+    read_request,
+    stated_limit,
+)
 from cowsliprack.platform.settings import parse_platform_settings
-from cowsliprack.platform.wire import decode_configuration
+from cowsliprack.platform.wire import decode_configuration, decode_target
 from cowsliprack.protocol.dialect import ForwardingMetadata
+from cowsliprack.protocol.gateway_messages import LeaderView, MemberReport
+from cowsliprack.protocol.peer import decode_message, encode_message
+from cowsliprack.state.target_registry import TargetRegistry
 from tests.support.gateway_cluster import configuration
 from tests.support.platform_settings import SETTINGS
+from tests.support.routed import target_record
 
 _FACTS = ForwardingMetadata(
     target_id='e1',
@@ -150,3 +163,58 @@
 @then('it is the first start of the system: {answer}')
 def then_first_start(context, answer):
     assert context.settings.first_start == (answer == 'yes')
+
+
+@when('an entry with the version {version} is decoded')
+def when_entry(context, version):
+    entry = {
+        'service': 'llm',
+        'addr': '127.0.0.1:1',
+        'zone': 'z',
+        'version': json.loads(version),
+        'slots': 8,
+        'state': 'ready',
+        'seq': 0,
+    }
+    context.record = decode_target('e1', entry)
+
+
+@then('its software version is of no target')
+def then_no_target(context):
+    assert context.record is None, context.record
+
+
+@then('its software version is {version}')
+def then_software_version(context, version):
+    assert context.record.software_version == version, context.record
+
+
+@when(
+    'a request with "Last-Event-Id: {event}" and "Resumes: {attempt}" is read'
+)
+def when_read(context, event, attempt):
+    context.metadata = read_request(
+        [(b'last-event-id', event.encode()), (b'resumes', attempt.encode())]
+    )
+
+
+@then('it continues attempt "{attempt}" after event "{event}"')
+def then_continues(context, attempt, event):
+    assert context.metadata.continued_id == attempt, context.metadata
+    assert context.metadata.resume_after == event, context.metadata
+
+
+@when('a target of the software version "{version}" is relayed to a member')
+def when_relayed(context, version):
+    registry = TargetRegistry()
+    registry.replace([target_record('e1', software_version=version)], 5)
+    report = MemberReport('g2', '', 'z', 'b', 1, 0, 0, 0)
+    view = LeaderView(1, 1, 'g1', '', **registry_changes(registry, report))
+    context.member = TargetRegistry()
+    apply_relayed_targets(context.member, decode_message(encode_message(view)))
+
+
+@then('the member knows the software version "{version}"')
+def then_member_knows(context, version):
+    record = context.member.records_by_id['e1']
+    assert record.software_version == version, record
--- a/tests/steps/bounded_body_steps.py
+++ b/tests/steps/bounded_body_steps.py
@@ -21,7 +21,12 @@
 from cowsliprack.transport.poison_watch import PoisonWatch
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.target_client import TargetClient
-from tests.support.routed import TABLE, routed_request, target_record
+from tests.support.routed import (
+    TABLE,
+    lone_origins,
+    routed_request,
+    target_record,
+)
 
 _CHUNK = b'1000\r\n%s\r\n' % (b' ' * 4096)
 _CHUNKED_HEAD = b'transfer-encoding: chunked\r\n\r\n'
@@ -166,6 +171,7 @@
             target_selector=context.selector,
             finder=_Finder(record),
             poison=poison,
+            origins=lone_origins(),
             apply_retry_limit=lambda _budget: None,
             table=lambda: TABLE,
             demand_changed=lambda: None,
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -265,6 +265,7 @@
 )
 def when_taken_up(context, count, model):
     cluster = context.cluster
+    _wait_until(lambda: '"peers":["g1","g2"]' in cluster.log('g1'), 5)
     for name in ('e1', 'e2'):
         cluster.engines[name].event_seconds = 0.1
     with contextlib.ExitStack() as stack:
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -51,6 +51,18 @@
     _add_engine(context, name, _split_names(held), _split_names(disk))
 
 
+@given('an engine {name:w} of {version:w} with {held:w}, and {disk:w} on disk')
+def given_version_engine(context, name, version, held, disk):
+    engine = _add_engine(context, name, [held], [disk])
+    engine.record = replace(engine.record, software_version=version)
+
+
+@given('1 request waits for {name:w} at the software version {version:w}')
+def given_version_waiting(context, name, version):
+    _wait(context, name)
+    context.groups[-1] = replace(context.groups[-1], software_version=version)
+
+
 @given('engine {name:w} holds {held:w}')
 def given_simple_engine(context, name, held):
     _add_engine(context, name, [held])
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -199,6 +199,7 @@
         surroundings,
         lease,
         lambda _instance, _address, message: context.sent.append(message),
+        dict,
     )
 
 
@@ -234,3 +235,78 @@
         if isinstance(message, ConfigurationCopy)
     ]
     assert len(copies) == count, len(copies)
+
+
+def _member_report(name, sequence=1, **changes):
+    fields = {'boot': 'b1', **changes}
+    return MemberReport(
+        instance_id=name,
+        address='127.0.0.1:1',
+        zone='z',
+        sequence=sequence,
+        stamp=1,
+        view_sequence=0,
+        view_fencing=0,
+        **fields,
+    )
+
+
+@given('two instances with requests for a, at v1 and at any version')
+def given_two_versions(context):
+    _state(context)
+    for name, version in (('i1', 'v1'), ('i2', '')):
+        group = WaitingGroup(
+            's', 'a', '', 1, 1.0, 5.0, software_version=version
+        )
+        context.state.apply_report(_member_report(name, waiting=(group,)), _NOW)
+
+
+@then('2 groups wait, one of them at v1')
+def then_two_groups(context):
+    groups = context.state.groups('s', _NOW)
+    versions = sorted(group.software_version for group in groups)
+    assert versions == ['', 'v1'], groups
+
+
+@given('a leader with members i1 and i2')
+def given_members(context):
+    _state(context)
+    for name in ('i1', 'i2'):
+        context.state.apply_report(_member_report(name), _NOW)
+    context.state.refresh_peers(_NOW)
+    context.known_digest = 0
+
+
+def _sent_peers(context):
+    member = context.state.members_by_id['i1']
+    member.report = replace_fields(
+        member.report, peers_digest=context.known_digest
+    )
+    view = context.state.view_for(member, _NOW)
+    context.sent_digest = view.peers_digest
+    return [peer.instance_id for peer in view.peers]
+
+
+@then('a member without a list gets {names}')
+@then('a member with the old list gets {names}')
+def then_gets_peers(context, names):
+    assert _sent_peers(context) == names.split(' and ')
+
+
+@then('a member with this list gets none')
+def then_gets_no_peers(context):
+    context.known_digest = context.sent_digest
+    assert not _sent_peers(context)
+
+
+@when('i2 starts again')
+def when_member_restarted(context):
+    context.state.apply_report(_member_report('i2', boot='b2'), _NOW)
+    context.state.refresh_peers(_NOW)
+
+
+@when('i2 reports that it is leaving')
+def when_member_leaving(context):
+    report = _member_report('i2', 2, boot='b2', leaving=True)
+    context.state.apply_report(report, _NOW)
+    context.state.refresh_peers(_NOW)
--- a/tests/steps/route_relay_steps.py
+++ b/tests/steps/route_relay_steps.py
@@ -34,6 +34,7 @@
         target_selector=None,
         finder=None,
         poison=None,
+        origins=None,
         apply_retry_limit=lambda budget: None,
         table=None,
         demand_changed=None,
--- a/tests/steps/route_streams_steps.py
+++ b/tests/steps/route_streams_steps.py
@@ -18,7 +18,12 @@
 from cowsliprack.transport.exchange import exchange_from_scope
 from cowsliprack.transport.poison_watch import PoisonWatch
 from cowsliprack.transport.route_relay import RouteRelay
-from tests.support.routed import TABLE, routed_request, target_record
+from tests.support.routed import (
+    TABLE,
+    lone_origins,
+    routed_request,
+    target_record,
+)
 
 _HEAD = (
     b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n'
@@ -126,6 +131,7 @@
             target_selector=TargetSelector('z'),
             finder=_Finder(record),
             poison=PoisonWatch(TargetRegistry(), time.monotonic),
+            origins=lone_origins(),
             apply_retry_limit=lambda _budget: None,
             table=lambda: TABLE,
             demand_changed=lambda: None,
--- a/tests/steps/target_finder_steps.py
+++ b/tests/steps/target_finder_steps.py
@@ -11,7 +11,7 @@
 from cowsliprack.coordination.waiting_requests import WaitingRequests
 from cowsliprack.exceptions import ErrorKind, Ran, ServingError
 from cowsliprack.protocol.dialect import RequestMetadata
-from cowsliprack.state.target_registry import LoadedModel
+from cowsliprack.state.target_registry import LoadedModel, TargetState
 from cowsliprack.transport.target_finder import TargetFinder
 from tests.support.routed import TABLE, routed_request, target_record
 
@@ -215,3 +215,85 @@
 def then_rejected_at_once(context):
     assert context.error is not None
     assert context.error.kind is ErrorKind.queue_full
+
+
+def _versioned(target_id, version, *models, **changes):
+    return target_record(
+        target_id,
+        service='llm',
+        software_version=version,
+        loaded_models_by_name={model: LoadedModel(1) for model in models},
+        **changes,
+    )
+
+
+@given('engines of v1 and v2 that hold m0')
+def given_versions(context):
+    context.records = [_versioned('e1', 'v1', 'm0')]
+    context.records.append(_versioned('e2', 'v2', 'm0'))
+
+
+@given('engines of v1 without and v2 with m0')
+def given_other_model(context):
+    context.records = [_versioned('e1', 'v1', 'm1')]
+    context.records.append(_versioned('e2', 'v2', 'm0'))
+
+
+@given('engines of v1 and v2, the former drains')
+def given_draining(context):
+    draining = _versioned('e1', 'v1', 'm0', state=TargetState.draining)
+    context.records = [draining, _versioned('e2', 'v2', 'm0')]
+
+
+@when('a request for m0 of a stream that {begun} began looks for a target')
+def when_stream_looks(context, begun):
+    now = time.monotonic()
+    fleet = FleetView()
+    fleet.registry.replace(context.records, 1)
+    context.finder = _finder(fleet, TargetSelector('z'), Freshness(60, now))
+    is_other = begun == 'another service'
+    context.request = routed_request(
+        '/chat/x',
+        'moved' if is_other else 'llm',
+        now,
+        4,
+        exchange=_NotStarted(),
+        metadata=RequestMetadata('id', '', None, model='m0', resume_after='2'),
+        begun_version='v1' if is_other else begun,
+    )
+    context.found = []
+    context.error = anyio.run(_find_and_watch, context)
+
+
+async def _find_and_watch(context):
+    async def look():
+        try:
+            context.found.append(await context.finder.find(context.request))
+        except ServingError as error:
+            context.found.append(error)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(look)
+        await anyio.sleep(0.1)
+        context.groups = context.finder.waiting_requests.group_summaries(0)
+        tasks.cancel_scope.cancel()
+
+
+@then('it gets the target of {version}')
+def then_gets(context, version):
+    assert [found.software_version for found in context.found] == [version]
+
+
+@then('it is rejected: no target runs the version')
+def then_no_version(context):
+    (error,) = context.found
+    assert error.kind is ErrorKind.version_unavailable, error
+    assert error.ran is Ran.not_run
+    assert error.retry_after > 0
+
+
+@then('it waits until an engine of {version} has loaded the model')
+def then_waits_for(context, version):
+    assert not context.found, context.found
+    (group,) = context.groups
+    assert (group.model, group.software_version) == ('m0', version), group
--- /dev/null
+++ b/tests/support/origin_world.py
@@ -0,0 +1,120 @@
+"""Instances that exchange the origins of streams over links that can be cut."""
+
+import itertools
+
+from cowsliprack.coordination.stream_origins import origin_key
+from cowsliprack.protocol.gateway_messages import (
+    LeaderView,
+    OriginAnswer,
+    OriginQuestion,
+    PeerView,
+    StreamsBegun,
+)
+from cowsliprack.protocol.peer import decode_message, encode_message
+from cowsliprack.state.stream_origin import StreamOrigin
+from cowsliprack.state.target_registry import TargetRegistry
+from cowsliprack.transport.origin_exchange import OriginExchange
+from tests.support.routed import target_record
+
+SERVICE = 's'
+_LEADER = 'a-1'
+
+
+class OriginWorld:
+    """Instances of zones a, b and c that see the same list of targets.
+
+    :param names: ids of the instances; the first letter is the zone.
+    """
+
+    def __init__(self, names):
+        self.now = 1000.0
+        self.split = set()
+        self.cut_zones = set()
+        self.sent = 0
+        self.exchanges = {}
+        self.versions = []
+        self._boots = {}
+        self._numbers = itertools.count(1)
+        for name in names:
+            self._create(name)
+
+    def _create(self, name):
+        def deliver(receiver, _address, message):
+            self._deliver(name, receiver, message)
+
+        self._boots[name] = str(next(self._numbers))
+        self.exchanges[name] = OriginExchange(
+            name, name, deliver, lambda: self.now, lambda: self.split
+        )
+
+    def run_versions(self, versions):
+        """Set the software version of each target."""
+        self.versions = versions
+        for exchange in self.exchanges.values():
+            self._show_targets(exchange)
+
+    def _show_targets(self, exchange):
+        registry = TargetRegistry()
+        records = [
+            target_record(f'e{number}', software_version=version)
+            for number, version in enumerate(self.versions)
+        ]
+        registry.replace(records, next(self._numbers))
+        exchange.registry_changed(registry)
+
+    def begin(self, name, attempt, version):
+        """Send a new stream to a target of a version."""
+        key = origin_key('desk', attempt)
+        self.exchanges[name].begin(key, StreamOrigin(SERVICE, version))
+
+    async def take_up(self, name, attempt, services=(SERVICE,)):
+        """Return the origin that an instance finds for a stream."""
+        key = origin_key('desk', attempt)
+        return await self.exchanges[name].find(key, services)
+
+    def share_peers(self, *, to_cut=True):
+        """Let the leader tell the instances of each other."""
+        peers = tuple(
+            PeerView(name, name, name[0], self._boots[name])
+            for name in sorted(self.exchanges)
+        )
+        ages = self.exchanges[_LEADER].version_ages()
+        view = LeaderView(
+            1,
+            1,
+            _LEADER,
+            _LEADER,
+            peers=peers,
+            peers_digest=next(self._numbers),
+            version_ages=ages,
+        )
+        for name, exchange in self.exchanges.items():
+            if to_cut or name[0] not in self.cut_zones:
+                exchange.apply_peers(view)
+
+    def kill(self, name):
+        """End an instance; the others still take it for a peer."""
+        self.exchanges.pop(name)
+
+    def restart(self, name):
+        """Replace an instance by a process that knows only the targets."""
+        self._create(name)
+        self._show_targets(self.exchanges[name])
+
+    def _deliver(self, sender, receiver, message):
+        self.sent += 1
+        if self._is_cut(sender, receiver) or receiver not in self.exchanges:
+            return
+        exchange = self.exchanges[receiver]
+        match decode_message(encode_message(message)):
+            case StreamsBegun() as begun:
+                exchange.apply_begun(begun)
+            case OriginQuestion() as question:
+                exchange.answer(question)
+            case OriginAnswer() as answer:
+                exchange.apply_answer(answer)
+
+    def _is_cut(self, sender, receiver):
+        return sender[0] != receiver[0] and bool(
+            {sender[0], receiver[0]} & self.cut_zones
+        )
--- a/tests/support/routed.py
+++ b/tests/support/routed.py
@@ -1,8 +1,11 @@
 """Builders of targets and route requests for unit-level tests."""
 
+import time
+
 from cowsliprack.platform.wire import decode_configuration
 from cowsliprack.protocol.dialect import RequestMetadata
 from cowsliprack.state.target_registry import TargetRecord, TargetState
+from cowsliprack.transport.origin_exchange import OriginExchange
 from cowsliprack.transport.routed_request import RoutedRequest
 from tests.support.gateway_cluster import HOST, configuration
 
@@ -39,3 +42,8 @@
         deadline=arrived_at + seconds,
         **{**fields, **changes},
     )
+
+
+def lone_origins():
+    """Return the origins of streams of an instance without others."""
+    return OriginExchange('g1', '', lambda *_message: None, time.monotonic)
--- /dev/null
+++ b/tests/transport/origin_exchange.feature
@@ -0,0 +1,177 @@
+Feature: Origins of streams that callers take up again
+  Guards against a stream that goes on at another software version than the one
+  that began it (P8), also when the instance that began it is gone or cut off.
+
+  Background:
+    Given instances a-1, a-2, b-1, b-2, c-1, c-2 of three zones
+
+  Scenario: The instance that began the streams dies
+    Given targets of the versions v1, v1, v2
+    And all instances know each other
+    And a-1 has begun streams at v1 and v2
+    When a-1 dies
+    Then b-2 finds the version that began each of them
+    And a-2 finds the version that began each of them
+
+  Scenario: Two instances die at once
+    Given targets of the versions v1, v1, v2
+    And all instances know each other
+    And a-1 has begun streams at v1 and v2
+    When a-1 dies
+    And b-1 dies
+    Then c-1 finds the version that began each of them
+
+  Scenario Outline: Instances are cut apart: <where>
+    Given targets of the versions v1, v1, v2
+    And all instances know each other
+    And a-1 has begun streams at v1 and v2
+    When zone <zones> is cut off
+    And a-1 dies
+    Then <instance> finds no wrong version, and that of at least <count> of them
+
+    Examples:
+      | where                             | zones   | instance | count |
+      | in the zone of the first one      | a       | a-2      | 10    |
+      | outside of it                     | a       | b-1      | 40    |
+      | every zone, in that of the first  | a, b, c | a-2      | 10    |
+      | every zone, in another one        | a, b, c | c-2      | 40    |
+
+  Scenario: The streams began while the instances were cut apart
+    Given targets of the versions v1, v1, v2
+    And all instances know each other
+    And zone a is cut off
+    And a-1 has begun streams at v1 and v2
+    When a-1 dies
+    Then b-1 finds no version
+    And a-2 finds no wrong version, and that of at least 10 of them
+
+  Scenario: The only version needs no messages
+    Given targets of the versions v1, v1, v1
+    And all instances know each other
+    And a-1 has begun streams at v1
+    When a-1 dies
+    Then c-2 finds the version that began each of them
+    And no message was sent
+
+  Scenario: A second version comes while streams run
+    Given targets of the versions v1, v1, v1
+    And all instances know each other
+    And a-1 has begun streams at v1
+    When the targets run the versions v1, v1, v2
+    And a-1 dies
+    Then c-2 finds the version that began each of them
+
+  Scenario: The version of the streams has left
+    Given targets of the versions v1, v2
+    And all instances know each other
+    And a-1 has begun streams at v1
+    When the targets run the versions v2, v2
+    And 30 seconds pass
+    And a-1 dies
+    Then c-2 finds the version that began each of them
+
+  Scenario: A version that has left may have begun an unknown stream
+    Given targets of the versions v1, v2
+    And all instances know each other
+    And zone a, b, c is cut off
+    And a-1 has begun streams at v1
+    When the targets run the versions v2, v2
+    And 30 seconds pass
+    Then b-2 finds no version
+    When 91 seconds pass
+    Then b-2 takes v2 for the version of all of them
+
+  Scenario: An instance that starts does not guess before it knows the others
+    Given targets of the versions v1, v2
+    And all instances know each other
+    And c-1 has begun streams at v1
+    When the targets run the versions v2, v2
+    And b-1 starts again
+    Then b-1 finds no version
+
+  Scenario: An instance that starts learns which versions have left
+    Given targets of the versions v1, v2
+    And all instances know each other
+    And zone c is cut off
+    And c-1 has begun streams at v1
+    When the targets run the versions v2, v2
+    And b-1 starts again
+    And the instances that are not cut off learn of each other again
+    Then b-1 finds no version
+
+  Scenario: A leader that starts again asks the others
+    Given targets of the versions v1, v2
+    And all instances know each other
+    And c-1 has begun streams at v1
+    When the targets run the versions v2, v2
+    And a-1 starts again
+    And the instances learn of each other again
+    And c-1 dies
+    Then a-1 finds the version that began each of them
+
+  Scenario: A leader that starts again and reaches nobody does not guess
+    Given targets of the versions v1, v2
+    And all instances know each other
+    And c-1 has begun streams at v1
+    When the targets run the versions v2, v2
+    And a-1 starts again
+    And zone a is cut off
+    And the instances learn of each other again
+    And a-2 dies
+    Then a-1 finds no version
+
+  Scenario: A leader without other instances
+    Given targets of the versions v1, v1
+    And a-1 has begun streams at v1
+    And the other instances are gone
+    When a-1 starts again
+    And the instances learn of each other again
+    Then a-1 finds no version
+    When 3 seconds pass
+    Then a-1 finds the version that began each of them
+
+  Scenario: A keeper that starts again learns the streams anew
+    Given targets of the versions v1, v1, v2
+    And all instances know each other
+    And a-1 has begun streams at v1 and v2
+    When a-2 starts again
+    And b-1 starts again
+    And b-2 starts again
+    And c-1 starts again
+    And c-2 starts again
+    And the instances learn of each other again
+    And a-1 dies
+    Then c-2 finds the version that began each of them
+
+  Scenario: A route that leads to several services
+    Given targets of the versions v1, v1, v1
+    And all instances know each other
+    And a route that leads to s and another service
+    And a-1 has begun streams at v1
+    When a-1 dies
+    Then c-2 finds the service that began each of them
+
+  Scenario: An unknown stream of such a route
+    Given targets of the versions v1, v1, v1
+    And all instances know each other
+    And zone a, b, c is cut off
+    And a-1 has begun streams at v1
+    And a route that leads to s and another service
+    Then c-2 does not guess the service
+
+  Scenario Outline: Who keeps a stream: <instances> instances in each of <zones> zones
+    Given <instances> instances in each of <zones> zones
+    Then each stream is kept by <keepers> instances in <zones> zones
+    And all streams together are kept by at most <all> instances
+
+    Examples:
+      | instances | zones | keepers | all |
+      | 1         | 1     | 1       | 1   |
+      | 2         | 1     | 2       | 2   |
+      | 2         | 3     | 4       | 6   |
+      | 2         | 4     | 4       | 8   |
+      | 32        | 11    | 11      | 33  |
+
+  Scenario: Memory is bounded
+    Given 20010 recorded streams
+    Then 20000 are stored, and none after 121 seconds
--- a/tests/transport/target_finder.feature
+++ b/tests/transport/target_finder.feature
@@ -39,3 +39,21 @@
       | an engine without a limit         |         | 0.1      | is rejected at once |
       | an engine without a limit with m0 | /a1     | 0.5      | waits               |
       | another engine with a limit       |         | 1        | is rejected at once |
+
+  Scenario Outline: A stream that <version> began looks for a target, <engines>
+    Given <engines>
+    When a request for m0 of a stream that <version> began looks for a target
+    Then it <result>
+
+    Examples:
+      | engines                                | version | result                                            |
+      | engines of v1 and v2 that hold m0      | v1      | gets the target of v1                             |
+      | engines of v1 and v2 that hold m0      | v2      | gets the target of v2                             |
+      | engines of v1 and v2 that hold m0      | v3      | is rejected: no target runs the version           |
+      | engines of v1 without and v2 with m0   | v1      | waits until an engine of v1 has loaded the model  |
+      | engines of v1 and v2, the former drains | v1     | is rejected: no target runs the version           |
+
+  Scenario: The route of a stream has moved to another service
+    Given engines of v1 and v2 that hold m0
+    When a request for m0 of a stream that another service began looks for a target
+    Then it is rejected: no target runs the version
