--- a/cowsliprack/coordination/stream_origins.py
+++ b/cowsliprack/coordination/stream_origins.py
@@ -25,7 +25,7 @@
 MAX_ORIGINS = 20_000
 # Instances of an availability zone that may keep origins; bounds the number of
 # connections between instances.
-_MAX_CANDIDATES_PER_ZONE = 3
+_MAX_CANDIDATES_PER_ZONE = 6
 # Instances that keep an origin, or one of each zone if there are more zones.
 # One of them may be the instance that began the stream.
 _KEEPERS = 4
