Answer every request that was read when the listener stops

Callers whose request crossed the graceful stop saw their kept connection close without an answer.

Cause: the library closes a connection when its idle task sees the stop, while a request that it has read is on its way to the application. Such requests reached no target since, but their refusal was lost: 40 of 40 answers 3, 4 and 6 steps of the event loop after the stop, 5 of 27 and 2 of 23 around it.

The listener accepts the connections itself now and counts the requests that the application handles on each. At the stop it first reads no more bytes from connections without one, lets what has been read become requests, and closes those that still have none; a request that has come meanwhile is read to its end and answered. cowsliprack serve uses the same listener, and its answers during the drain say that the connection ends.

http_listener.feature: 5 of its first 11 scenarios fail before, 20 of 20 pass now; its three protections are noticed.

In one run of all features of tests/transport on this change "A poison request is refused everywhere after its second crash" failed once; alone it passed 3 of 3.

--- a/cowsliprack/transport/http_api.py
+++ b/cowsliprack/transport/http_api.py
@@ -49,6 +49,7 @@
 
     :param configuration: returns the configuration in force.
     :param is_ready: whether the load balancer should send requests here.
+    :param closing: whether to close connections after their answers.
     :param clock: monotonic, seconds.
     """
 
@@ -57,6 +58,7 @@
     forwarder: Forwarder
     configuration: Callable[[], Configuration]
     is_ready: Callable[[], bool]
+    closing: Callable[[], bool]
     clock: Callable[[], float]
 
     async def __call__(
@@ -65,18 +67,13 @@
         receive: Receive,
         send: Send,
     ) -> None:
-        """Serve one ASGI connection scope.
+        """Serve one request.
 
-        :param scope: of the connection.
+        :param scope: of the ASGI protocol.
         :param receive: ASGI callable.
         :param send: ASGI callable.
         """
-        if scope['type'] == 'lifespan':
-            await _serve_lifespan(receive, send)
-            return
-        if scope['type'] != 'http':
-            return
-        exchange = exchange_from_scope(scope, receive, send)
+        exchange = exchange_from_scope(scope, receive, send, self.closing)
         await self._handle(exchange)
 
     async def _handle(self, exchange: Exchange) -> None:
@@ -274,12 +271,5 @@
     )
 
 
-async def _serve_lifespan(receive: Receive, send: Send) -> None:
-    event_type = ''
-    while event_type != 'lifespan.shutdown':
-        event_type = (await receive())['type']
-        await send({'type': f'{event_type}.complete'})
-
-
 def _new_request_id() -> str:
     return uuid.uuid4().hex
--- a/cowsliprack/transport/instance.py
+++ b/cowsliprack/transport/instance.py
@@ -11,8 +11,6 @@
 import anyio
 import structlog
 from anyio.streams.memory import MemoryObjectReceiveStream
-from hypercorn.asyncio import serve as serve_http
-from hypercorn.config import Config
 
 from cowsliprack.coordination.capacity import Capacity
 from cowsliprack.coordination.dispatcher import Dispatcher
@@ -32,6 +30,7 @@
 )
 from cowsliprack.transport.forward import Forwarder
 from cowsliprack.transport.http_api import HttpApi
+from cowsliprack.transport.http_listener import LISTEN_BACKLOG, serve_sockets
 from cowsliprack.transport.hub import Hub
 from cowsliprack.transport.instance_list import InstanceListPoller
 from cowsliprack.transport.keyed_runs import KeyedRuns
@@ -44,9 +43,6 @@
 _MAX_LEADER_INBOX_MESSAGES = 4096
 # Time for closing the connections after the last request.
 _CLOSE_TIMEOUT_SECONDS = 3
-_LISTEN_BACKLOG = 1024
-_KEEP_ALIVE_SECONDS = 75
-_MAX_HEADER_BYTES = 65_536
 _log = structlog.get_logger('cowsliprack.instance')
 
 
@@ -139,6 +135,7 @@
             ),
             self.configuration,
             self.is_ready,
+            self.is_draining,
             read_clock,
         )
 
@@ -150,11 +147,15 @@
         """Return whether the load balancer should send requests here."""
         return not self.draining and self.configuration().generation > 0
 
+    def is_draining(self) -> bool:
+        """Return whether the instance is stopping."""
+        return self.draining
+
     async def run(self) -> None:
         """Run until a signal, then stop gracefully."""
         listener = socket.create_server(
             (self.settings.host, self.settings.port),
-            backlog=_LISTEN_BACKLOG,
+            backlog=LISTEN_BACKLOG,
         )
         shutdown = anyio.Event()
         async with anyio.create_task_group() as tasks:
@@ -196,14 +197,9 @@
         listener: socket.socket,
         shutdown: anyio.Event,
     ) -> None:
-        config = Config()
-        config.bind = [f'fd://{listener.fileno()}']
-        config.errorlog = None
-        config.graceful_timeout = _CLOSE_TIMEOUT_SECONDS
-        config.keep_alive_timeout = _KEEP_ALIVE_SECONDS
-        config.h11_max_incomplete_size = _MAX_HEADER_BYTES
-        config.include_server_header = False
-        await serve_http(self.api, config, shutdown_trigger=shutdown.wait)
+        await serve_sockets(
+            self.api, [listener], shutdown, _CLOSE_TIMEOUT_SECONDS
+        )
         self.http_closed.set()
 
     def _leader_fencing(self) -> int | None:
--- a/tests/steps/http_listener_steps.py
+++ b/tests/steps/http_listener_steps.py
@@ -1,6 +1,7 @@
 """Steps for the closing of idle connections."""
 
 import asyncio
+import re
 import time
 
 import anyio
@@ -20,6 +21,11 @@
     b'GET /open/%%d HTTP/1.1\r\nhost: %s\r\nx-attempt-id: id\r\n\r\n'
     % HOST.encode()
 )
+_HEAD_WITH_BODY = (
+    b'POST /open/%%d HTTP/1.1\r\nhost: %s\r\nx-attempt-id: id\r\n'
+    b'content-length: 4\r\n\r\n' % HOST.encode()
+)
+_BODY = b'body'
 _TIMEOUT_SECONDS = 2.0
 # As long as a request on its way to a target.
 _HANDLING_SECONDS = 0.05
@@ -46,15 +52,91 @@
 
 @when('the listener is stopped and {steps:d} steps later each sends a request')
 def when_stopped(context, steps):
-    context.handled = set()
-    context.answered = set()
-    anyio.run(_stop_and_send, context, steps)
+    async def send(stop, connections):
+        stop()
+        await _let_pass(steps)
+        for number, (_, writer) in enumerate(connections, 1):
+            writer.write(_REQUEST % number)
+
+    anyio.run(_serve, context, send)
+
+
+@when('the listener is stopped while requests come {steps:d} steps apart')
+def when_stopped_among(context, steps):
+    async def send(stop, connections):
+        for number, (_, writer) in enumerate(connections, 1):
+            if number == len(connections) // 2:
+                stop()
+            writer.write(_REQUEST % number)
+            await _let_pass(steps)
+
+    anyio.run(_serve, context, send)
+
+
+@when(
+    'the listener is stopped after the heads of requests, before their bodies'
+)
+def when_stopped_in_bodies(context):
+    async def send(stop, connections):
+        for number, (_, writer) in enumerate(connections, 1):
+            writer.write(_HEAD_WITH_BODY % number)
+        await anyio.sleep(_HANDLING_SECONDS)
+        stop()
+        await anyio.sleep(_HANDLING_SECONDS)
+        for _, writer in connections:
+            writer.write(_BODY)
+
+    anyio.run(_serve, context, send)
+    assert len(context.read) == context.count, context.read
+
+
+@when(
+    'the listener is stopped {steps:d} steps after the heads of requests, and '
+    'their bodies come later'
+)
+def when_heads_cross(context, steps):
+    async def send(stop, connections):
+        for number, (_, writer) in enumerate(connections, 1):
+            writer.write(_HEAD_WITH_BODY % number)
+        await _let_pass(steps)
+        stop(refuse=False)
+        await anyio.sleep(_HANDLING_SECONDS)
+        for _, writer in connections:
+            writer.write(_BODY)
+
+    anyio.run(_serve, context, send)
+
 
+@then('every request was passed on')
+def then_all_passed_on(context):
+    assert len(context.handled) == context.count, len(context.handled)
 
-async def _stop_and_send(context, steps):
+
+@when('the listener is stopped while requests run')
+def when_stopped_running(context):
+    async def send(stop, connections):
+        for number, (_, writer) in enumerate(connections, 1):
+            writer.write(_REQUEST % number)
+        await anyio.sleep(_HANDLING_SECONDS / 2)
+        stop()
+
+    anyio.run(_serve, context, send)
+    assert len(context.handled) == context.count, context.handled
+
+
+async def _let_pass(steps):
+    for _ in range(steps):
+        await anyio.lowlevel.checkpoint()
+
+
+async def _serve(context, send):
+    """Serve kept connections, send requests, and read what comes back."""
+    context.handled = set()
+    context.read = set()
+    context.status_by_number = {}
     address = f'127.0.0.1:{free_port()}'
     stopped = anyio.Event()
-
+    ended = anyio.Event()
     waiting_requests = WaitingRequests()
     server = RouteServer(
         dialect=PLATFORM_DIALECT,
@@ -68,23 +150,35 @@
         stopped=lambda: waiting_requests.closed,
         clock=time.monotonic,
     )
+
+    async def application(scope, receive, respond):
+        number = int(scope['path'].rpartition('/')[2])
+        if number:
+            context.read.add(number)
+        await server(scope, receive, respond)
+
+    async def listen():
+        await serve_addresses(application, [address], stopped, _TIMEOUT_SECONDS)
+        ended.set()
+
+    def stop(*, refuse=True):
+        context.stopped_at = time.monotonic()
+        stopped.set()
+        if refuse:
+            waiting_requests.close()
+
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(
-            serve_addresses, server, [address], stopped, _TIMEOUT_SECONDS
-        )
+        tasks.start_soon(listen)
         connections = [await _connect(address) for _ in range(context.count)]
         for reader, writer in connections:
             writer.write(_REQUEST % 0)
             await reader.readuntil(b'ok')
-        stopped.set()
-        waiting_requests.close()
-        for _ in range(steps):
-            await anyio.lowlevel.checkpoint()
-        for number, (_, writer) in enumerate(connections, 1):
-            writer.write(_REQUEST % number)
+        await send(stop, connections)
         for number, (reader, writer) in enumerate(connections, 1):
             await _read_answer(context, number, reader)
             writer.close()
+        await ended.wait()
+        context.ended_at = time.monotonic()
 
 
 async def _connect(address):
@@ -100,13 +194,37 @@
 async def _read_answer(context, number, reader):
     try:
         with anyio.fail_after(_TIMEOUT_SECONDS):
-            await reader.readuntil(b'ok')
+            head = await reader.readuntil(b'\r\n\r\n')
+            length = re.search(rb'content-length: (\d+)', head)
+            if length:
+                await reader.readexactly(int(length[1]))
+            else:
+                await reader.readuntil(b'ok')
     except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
         return
-    context.answered.add(number)
+    context.status_by_number[number] = int(head.split(b' ')[1])
 
 
 @then('every request that was passed on is answered')
 def then_answered(context):
-    lost = context.handled - context.answered
+    lost = context.handled - context.status_by_number.keys()
     assert not lost, (len(lost), len(context.handled))
+
+
+@then('every request that was read is answered')
+def then_read_answered(context):
+    lost = context.read - context.status_by_number.keys()
+    assert not lost, (len(lost), len(context.read))
+
+
+@then('requests that were not passed on are refused as not run')
+def then_refused(context):
+    for number, status in context.status_by_number.items():
+        expected = 200 if number in context.handled else 503
+        assert status == expected, (number, status)
+
+
+@then('the listener ends as soon as they have ended')
+def then_ended(context):
+    seconds = context.ended_at - context.stopped_at
+    assert seconds < _TIMEOUT_SECONDS / 2, seconds
--- a/tests/support/request_path_server.py
+++ b/tests/support/request_path_server.py
@@ -10,8 +10,6 @@
 
 import anyio
 import httpx
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 
 from cowsliprack.coordination.capacity import Capacity
 from cowsliprack.coordination.dispatcher import Dispatcher
@@ -27,6 +25,7 @@
 )
 from cowsliprack.transport.forward import Forwarder
 from cowsliprack.transport.http_api import HttpApi
+from cowsliprack.transport.http_listener import serve_sockets
 from cowsliprack.transport.keyed_runs import KeyedRuns
 from cowsliprack.transport.target_client import TargetClient
 from tests.support.object_store import InMemoryStore
@@ -123,23 +122,22 @@
             ),
             lambda: self.configuration,
             lambda: True,
+            lambda: False,
             time.monotonic,
         )
-        config = Config()
-        # The server owns the descriptor and closes it.
-        config.bind = [f'fd://{self._listener.detach()}']
-        config.graceful_timeout = 0.5
-        config.errorlog = None
+        stopped = anyio.Event()
         self.dispatch_loop.post(NewConfiguration(self.configuration))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.dispatch_loop.run)
             tasks.start_soon(self._send_views)
-            await serve(api, config, shutdown_trigger=self._wait_for_stop)
+            tasks.start_soon(self._wait_for_stop, stopped)
+            await serve_sockets(api, [self._listener], stopped, 0.5)
             tasks.cancel_scope.cancel()
         await client.aclose()
 
-    async def _wait_for_stop(self):
+    async def _wait_for_stop(self, stopped):
         await anyio.to_thread.run_sync(self._stopped.wait)
+        stopped.set()
 
     async def _send_views(self):
         engines = [
--- a/tests/transport/http_listener.feature
+++ b/tests/transport/http_listener.feature
@@ -6,6 +6,8 @@
     Given 40 kept connections to a gateway's listener, each idle
     When the listener is stopped and <steps> steps later each sends a request
     Then every request that was passed on is answered
+    And every request that was read is answered
+    And requests that were not passed on are refused as not run
 
     Examples:
       | steps |
@@ -16,3 +18,43 @@
       | 4     |
       | 6     |
       | 10    |
+      | 44    |
+      | 46    |
+      | 48    |
+      | 50    |
+      | 52    |
+      | 54    |
+
+  Scenario Outline: Requests on kept connections <count> loop steps apart around the stop
+    Given 40 kept connections to a gateway's listener, each idle
+    When the listener is stopped while requests come <count> steps apart
+    Then every request that was read is answered
+    And requests that were not passed on are refused as not run
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+
+  Scenario: A body that is still on its way is read to its end
+    Given 5 kept connections to a gateway's listener, each idle
+    When the listener is stopped after the heads of requests, before their bodies
+    Then every request that was read is answered
+
+  Scenario Outline: A body comes after its head crossed the stop by <steps> steps
+    Given 40 kept connections to a gateway's listener, each idle
+    When the listener is stopped <steps> steps after the heads of requests, and their bodies come later
+    Then every request that was read is answered
+    And every request was passed on
+
+    Examples:
+      | steps |
+      | 2     |
+      | 4     |
+      | 8     |
+
+  Scenario: An answer that runs at the stop is sent to its end
+    Given 5 kept connections to a gateway's listener, each idle
+    When the listener is stopped while requests run
+    Then every request that was passed on is answered
+    And the listener ends as soon as they have ended
