Do not guess the version of a stream from an old list of targets

Found in reading the change: an instance that hears neither of a leader nor of the store does not know that a second version has come, and took an unknown stream for one of the version that it knows. The rule holds for instances that are cut off as well. It asks the keepers it reaches, and answers 503, not run, if none knows.

The scenario "An isolated instance does not know that a second version has come" fails without the check (its protection is noticed). What counts as isolated is the same as for requests that wait for a model; the function is shared now.

--- a/cowsliprack/coordination/fleet_view.py
+++ b/cowsliprack/coordination/fleet_view.py
@@ -6,12 +6,17 @@
 
 from dataclasses import dataclass, field
 
+from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.protocol.gateway_messages import EngineView
 from cowsliprack.state.target_registry import TargetRecord, TargetRegistry
 
 # Age of the leader's last view from which the registrations are used instead.
 # A leader's lease lapses at about the same time.
 _VIEW_LIFETIME_SECONDS = 5.0
+# An instance counts as isolated after this time without a leader's view and
+# without a read of the store: no model will be loaded for its requests, and its
+# list of targets may be out of date.
+_ISOLATED_AFTER_SECONDS = 2.0
 
 
 @dataclass(slots=True)
@@ -105,3 +110,14 @@
         if holding is None:
             return False
         return not adapter or adapter in holding.adapters
+
+
+def is_isolated(fleet: FleetView, freshness: Freshness, now: float) -> bool:
+    """Return whether an instance has neither a leader nor the store.
+
+    :param fleet: targets as the instance knows them.
+    :param freshness: age of its last read of the store.
+    :param now: seconds.
+    """
+    since_leader = now - fleet.updated_at
+    return min(since_leader, freshness.age(now)) > _ISOLATED_AFTER_SECONDS
--- a/cowsliprack/transport/origin_exchange.py
+++ b/cowsliprack/transport/origin_exchange.py
@@ -62,6 +62,7 @@
     :param deliver: sends a message to an instance (id, address, message).
     :param clock: seconds; must keep running during suspension.
     :param split_services: returns the services that share a route with others.
+    :param is_isolated: returns whether the list of targets may be out of date.
     :param peers: instances of the region, ordered by id.
     :param peers_digest: digest of ``peers``; 0 before the first list.
     :param peers_at: time of that list, seconds.
@@ -72,6 +73,7 @@
     deliver: Deliver
     clock: Callable[[], float]
     split_services: Callable[[], set[str]] = set
+    is_isolated: Callable[[], bool] = bool
     origins: StreamOrigins = field(default_factory=StreamOrigins)
     history: VersionHistory = field(default_factory=VersionHistory)
     peers: tuple[PeerView, ...] = ()
@@ -159,28 +161,27 @@
         origin = self.origins.find(key, now)
         if origin is not None:
             return origin
-        possible = self._possible_origins(services, now)
-        if len(possible) == 1 and self.history.is_joined:
-            return possible.pop()
+        guess = self._guess(services)
+        if guess is not None:
+            return guess
         question = await self._ask(key)
-        if question.origin is not None:
-            return question.origin
-        possible = self._possible_origins(services, now)
-        is_sure = self.history.is_joined or self._is_alone(now)
-        return possible.pop() if len(possible) == 1 and is_sure else None
-
-    def _is_alone(self, now: float) -> bool:
-        return len(self.peers) == 1 and now - self.peers_at >= _ALONE_SECONDS
-
-    def _possible_origins(
-        self, services: tuple[str, ...], now: float
-    ) -> set[StreamOrigin]:
+        return question.origin or self._guess(services)
+
+    def _guess(self, services: tuple[str, ...]) -> StreamOrigin | None:
+        """Return the only possible origin of streams; ``None`` if unsure."""
+        now = self.clock()
+        is_alone = (
+            len(self.peers) == 1 and now - self.peers_at >= _ALONE_SECONDS
+        )
+        if self.is_isolated() or not (self.history.is_joined or is_alone):
+            return None
         versions_by_service = self.history.versions(now)
-        return {
+        possible = [
             StreamOrigin(service, version)
             for service in services
-            for version in versions_by_service.get(service) or {''}
-        }
+            for version in versions_by_service.get(service) or ('',)
+        ]
+        return possible[0] if len(possible) == 1 else None
 
     def version_ages(self) -> dict[str, dict[str, float]]:
         """Return the seconds since each version of each service was seen."""
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -6,6 +6,7 @@
 import anyio
 import structlog
 
+from cowsliprack.coordination.fleet_view import is_isolated
 from cowsliprack.coordination.freshness import RelayedReading, relayed_proof
 from cowsliprack.coordination.lease import Lease
 from cowsliprack.coordination.lease_record import LeaseAction
@@ -106,6 +107,9 @@
             self._deliver,
             context.clock,
             lambda: context.table().split_services(),
+            lambda: is_isolated(
+                context.fleet, context.freshness, context.clock()
+            ),
         )
         self.lease = Lease(
             context.region,
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from cowsliprack.coordination.fleet_view import FleetView
+from cowsliprack.coordination.fleet_view import FleetView, is_isolated
 from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.poison import PoisonTracker
 from cowsliprack.coordination.target_selector import TargetSelector
@@ -29,9 +29,6 @@
 _PLAN_SECONDS = 0.2
 # Longest Retry-After for targets at their limit; a limit may end at any time.
 _MAX_LIMIT_RETRY_SECONDS = 10.0
-# An instance counts as isolated after this time without a leader's view and
-# without a read of the store: no model will be loaded for its waiting requests.
-_ISOLATED_AFTER_SECONDS = 2.0
 # Retry-After for requests that a stopping instance rejects.
 _STOP_RETRY_SECONDS = 0.1
 
@@ -168,7 +165,7 @@
             if self.waiting_requests.closed:
                 raise shutting_down()
             now = self.clock()
-            if self._is_isolated(now):
+            if is_isolated(self.fleet, self.freshness, now):
                 raise ServingError(
                     ErrorKind.cold_start_unavailable,
                     'the instance has no contact with its leader and the store',
@@ -269,11 +266,6 @@
         ]
         return apart or targets
 
-    def _is_isolated(self, now: float) -> bool:
-        since_leader = now - self.fleet.updated_at
-        since_store = self.freshness.age(now)
-        return min(since_leader, since_store) > _ISOLATED_AFTER_SECONDS
-
     def _recheck_admission(self, request: RoutedRequest, now: float) -> None:
         """Check key and route again; they may have changed during the wait."""
         table = self.table()
--- a/tests/steps/origin_exchange_steps.py
+++ b/tests/steps/origin_exchange_steps.py
@@ -49,6 +49,7 @@
 
 
 @given('{name} has begun streams at {versions}')
+@when('{name} begins streams at {versions}')
 def given_streams(context, name, versions):
     context.version_by_attempt = {}
     for number in range(_STREAMS):
@@ -58,6 +59,11 @@
         context.world.begin(name, attempt, version)
 
 
+@given('{name} is isolated')
+def given_isolated(context, name):
+    context.world.isolated.add(name)
+
+
 @when('{name:w}-{number:d} dies')
 def when_killed(context, name, number):
     context.world.kill(f'{name}-{number}')
--- a/tests/support/origin_world.py
+++ b/tests/support/origin_world.py
@@ -30,6 +30,7 @@
         self.now = 1000.0
         self.split = set()
         self.cut_zones = set()
+        self.isolated = set()
         self.sent = 0
         self.exchanges = {}
         self.versions = []
@@ -44,14 +45,20 @@
 
         self._boots[name] = str(next(self._numbers))
         self.exchanges[name] = OriginExchange(
-            name, name, deliver, lambda: self.now, lambda: self.split
+            name,
+            name,
+            deliver,
+            lambda: self.now,
+            lambda: self.split,
+            lambda: name in self.isolated,
         )
 
     def run_versions(self, versions):
         """Set the software version of each target."""
         self.versions = versions
-        for exchange in self.exchanges.values():
-            self._show_targets(exchange)
+        for name, exchange in self.exchanges.items():
+            if name not in self.isolated:
+                self._show_targets(exchange)
 
     def _show_targets(self, exchange):
         registry = TargetRegistry()
--- a/tests/transport/origin_exchange.feature
+++ b/tests/transport/origin_exchange.feature
@@ -45,6 +45,16 @@
     Then b-1 finds no version
     And a-2 finds no wrong version, and that of at least 10 of them
 
+  Scenario: An isolated instance does not know that a second version has come
+    Given targets of the versions v1, v1, v1
+    And all instances know each other
+    And zone a is cut off
+    And a-2 is isolated
+    When the targets run the versions v1, v1, v2
+    And b-1 begins streams at v2
+    And b-1 dies
+    Then a-2 finds no version
+
   Scenario: The only version needs no messages
     Given targets of the versions v1, v1, v1
     And all instances know each other
