Keep a given-up assignment pending for the rest of a plan

Cause: whether a model is pending was asked of the engines for all requests, not only for those that need a software version. A model whose assignment was given up in a plan was assigned again in the same plan. Requests without a version look at the plan's own set again.

--- a/cowsliprack/coordination/engine_index.py
+++ b/cowsliprack/coordination/engine_index.py
@@ -1,7 +1,7 @@
 """Index of the models and requests on the engines of a service."""
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from cowsliprack.state.engine_state import EngineState
@@ -60,16 +60,16 @@
         """
         return not self.has_copy(model) and model not in self.pending_models
 
-    def is_pending(
-        self, model: str, fits: Callable[[EngineState], bool]
-    ) -> bool:
-        """Return whether an engine that fits is about to load a model.
+    def is_pending(self, model: str, software_version: str) -> bool:
+        """Return whether a model is being loaded or assigned to an engine.
 
         :param model: its name.
-        :param fits: whether an engine counts.
+        :param software_version: of the engine; empty for any.
         """
-        return model in self.pending_models and any(
-            fits(engine)
+        if not software_version:
+            return model in self.pending_models
+        return any(
+            engine.record.software_version == software_version
             and model in {engine.assigned_model, engine.loading_model()}
             for engine in self.usable
         )
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -334,7 +334,7 @@
             )
             return [order] if order else []
         if self._cancel_eviction(candidate) or self._index.is_pending(
-            candidate.model, candidate.fits
+            candidate.model, candidate.software_version
         ):
             return []
         return self._assign_engine(candidate, now)
