Count loads from the weight store whose engine is lost

A load whose engine crashes or leaves goes on in the weight store; the scheduler forgot it. Lost loads now count against the store's limit, and in the number by which it is measured, until they would have ended. They occupy no engine, so the share of the engines is as before.

The scenario fails before in both rows (a load begins beside the lost one).

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -4,7 +4,7 @@
 and more than a few at a time slow each other down in the store.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from cowsliprack.state.engine_state import EngineState
@@ -111,6 +111,75 @@
     return share
 
 
+@dataclass(frozen=True, slots=True)
+class ColdLoad:
+    """A load from the weight store that an engine has begun.
+
+    :param engine: state of the engine since its last start.
+    :param at_start: concurrent loads when it began, including itself.
+    :param stated_seconds: its time at full speed.
+    """
+
+    engine: EngineState
+    model: str
+    started_at: float
+    at_start: int
+    stated_seconds: float
+
+    def ends_at(self, full_speed_loads: int) -> float:
+        """Return when the load is expected to end, seconds.
+
+        :param full_speed_loads: concurrent loads that the store serves at full
+            speed.
+        """
+        slowdown = max(1, self.at_start / full_speed_loads)
+        return self.started_at + self.stated_seconds * slowdown
+
+
+@dataclass(slots=True)
+class LostColdLoads:
+    """Loads whose engine crashed or left.
+
+    The weight store goes on with them, so they slow down later loads.
+
+    :param started_by_id: last load that each engine has begun.
+    :param lost: those of engines that have gone since.
+    """
+
+    started_by_id: dict[str, ColdLoad] = field(default_factory=dict)
+    lost: list[ColdLoad] = field(default_factory=list)
+
+    def update(
+        self,
+        engines_by_id: Mapping[str, EngineState],
+        full_speed_loads: int,
+        now: float,
+    ) -> None:
+        """Find the loads that were lost, and forget those that have ended.
+
+        :param engines_by_id: engines of the service.
+        :param full_speed_loads: see ``ColdLoad``.
+        :param now: seconds.
+        """
+        for target_id, load in list(self.started_by_id.items()):
+            engine = engines_by_id.get(target_id)
+            if engine is not load.engine:
+                self.lost.append(load)
+            elif engine.loading_model() == load.model:
+                continue
+            self.started_by_id.pop(target_id)
+        self.lost = [
+            one for one in self.lost if one.ends_at(full_speed_loads) > now
+        ]
+
+    def count(self, engines: Iterable[EngineState]) -> int:
+        """Return how many loads the weight store serves.
+
+        :param engines: engines whose loads count, beside the lost ones.
+        """
+        return len(self.lost) + count_cold_loads(engines)
+
+
 @dataclass(slots=True)
 class ColdLoadLimit:
     """Limits cold loads by their rate and by the speed of the weight store.
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -14,7 +14,9 @@
 from cowsliprack.coordination.adapter_placement import plan_adapter
 from cowsliprack.coordination.cold_loads import (
     URGENT_REQUESTS,
+    ColdLoad,
     ColdLoadLimit,
+    LostColdLoads,
     MissingModels,
     MissingWeights,
     count_cold_loads,
@@ -135,6 +137,7 @@
     rates: DemandRates = field(default_factory=DemandRates)
     engines_by_id: dict[str, EngineState] = field(default_factory=dict)
     _cold: ColdLoadLimit = field(default_factory=ColdLoadLimit)
+    _lost_loads: LostColdLoads = field(default_factory=LostColdLoads)
     _engine_ids: frozenset[str] = frozenset()
     _engines_stable_since: float = 0
     _missing: MissingModels = field(default_factory=MissingModels)
@@ -219,7 +222,7 @@
         return MissingWeights(
             len(missing),
             tuple(sorted(self._waiting_models.intersection(missing))),
-            count_cold_loads(self.engines_by_id.values()),
+            self._lost_loads.count(self.engines_by_id.values()),
             self._max_cold_loads(0, now),
             len(self._index.usable),
         )
@@ -233,18 +236,21 @@
         :param model: the model.
         :param seconds: duration of the load.
         """
-        others = count_cold_loads(
+        others = self._lost_loads.count(
             other
             for other in self.engines_by_id.values()
             if other is not engine
         )
         self._cold.record_end(
-            engine.cold_loads_at_start, others + 1, seconds / model.cold_seconds
+            engine.cold_loads_at_start,
+            others + 1,
+            seconds / model.cold_seconds,
         )
 
     def _update_index(self, groups: list[GroupDemand], now: float) -> None:
         """Index the engines once, rather than once for each model."""
         self._index = index_engines(self.engines_by_id.values())
+        self._lost_loads.update(self.engines_by_id, self._cold.store_limit, now)
         self._waiting_models = {group.model for group in groups}
         self._waiting_share_by_id = self._index.waiting_shares(
             self._waiting_models
@@ -393,9 +399,16 @@
             engine.assigned_model = ''
             if engine.is_cold(model):
                 self._cold.starts.append(now)
-                engine.cold_loads_at_start = count_cold_loads(
+                engine.cold_loads_at_start = self._lost_loads.count(
                     self.engines_by_id.values()
                 )
+                self._lost_loads.started_by_id[engine.target_id] = ColdLoad(
+                    engine,
+                    model,
+                    now,
+                    engine.cold_loads_at_start,
+                    self.spec.models_by_name[model].cold_seconds,
+                )
         return order
 
     def _cancel_eviction(self, candidate: _LoadCandidate) -> bool:
@@ -525,9 +538,13 @@
         if not candidate.count and self._missing.waiting:
             # A load for an additional replica would serve no other model.
             return False
-        most = self._max_cold_loads(candidate.benefit, now)
-        return count_cold_loads(self.engines_by_id.values()) < most and (
-            self._cold.may_start(self.spec.loads_per_second, now)
+        # A lost load slows down the store, but occupies no engine.
+        engines = self.engines_by_id.values()
+        return (
+            count_cold_loads(engines)
+            < self._max_cold_loads(candidate.benefit, now)
+            and self._lost_loads.count(engines) < self._cold.store_limit
+            and self._cold.may_start(self.spec.loads_per_second, now)
         )
 
     def _max_cold_loads(self, benefit: float, now: float) -> int:
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -253,6 +253,23 @@
     And the scheduler plans
     Then the orders are ""
 
+  Scenario Outline: A load from the weight store counts when its engine <loss>
+    Given 56 empty engines
+    And of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 took twice the expected time
+    And b is requested 1 times a second
+    And e1 and e2 load a and b from the weight store
+    When the engine e2 <loss>
+    And 1 request waits for c
+    And the scheduler plans 1 second later
+    Then 0 loads were ordered
+    When the scheduler plans 6 seconds later
+    Then 1 loads were ordered
+
+    Examples:
+      | loss                   |
+      | is removed             |
+      | restarts with its disk |
+
   Scenario: Loads on time raise the limit step by step
     Given 56 empty engines
     And of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 took twice the expected time
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -324,6 +324,34 @@
         scheduler.end_cold_load(engine, model, slowdown * model.cold_seconds)
 
 
+@given('e1 and e2 load a and b from the weight store')
+def given_running_loads(context):
+    for name, model in (('e1', 'a'), ('e2', 'b')):
+        engine = context.scheduler.engines_by_id[name]
+        engine.assigned_model = model
+        context.scheduler.plan([], context.now)
+        assert engine.loading_model() == model, engine.order
+
+
+@when('the engine e2 is removed')
+def when_loading_engine_removed(context):
+    context.scheduler.engines_by_id.pop('e2')
+
+
+@when('the engine e2 restarts with its disk')
+def when_loading_engine_restarts(context):
+    lost = context.scheduler.engines_by_id['e2'].record
+    restarted = EngineState(replace(lost, born=lost.born + 1), surveyed=True)
+    context.scheduler.engines_by_id['e2'] = restarted
+
+
+@when('the scheduler plans {seconds:d} second later')
+@when('the scheduler plans {seconds:d} seconds later')
+def when_planned_later(context, seconds):
+    context.now += seconds
+    context.ordered = context.scheduler.plan(context.groups, context.now)
+
+
 @when('the scheduler plans for 1 second without demand')
 def when_plans_without_demand(context):
     for _ in range(20):
--- a/tools/bench/rotation_replay.py
+++ b/tools/bench/rotation_replay.py
@@ -248,6 +248,7 @@
         default_factory=list,
     )
     _cold_started_by_id: dict[str, float] = field(default_factory=dict)
+    _lost_load_ends: list[float] = field(default_factory=list)
     _disk_by_id: dict[str, list[str]] = field(default_factory=dict)
     _planned_at: float = -math.inf
     _changes: list[EngineChange] = field(init=False)
@@ -395,8 +396,17 @@
             self._returning_engines.append((now + seconds, name, disk))
 
     def _remove_engine(self, target_id: str) -> None:
-        """Remove an engine with its running requests and orders."""
+        """Remove an engine with its running requests and orders.
+
+        The weight store goes on with a load that the engine has begun.
+        """
         engine = self.scheduler.engines_by_id.pop(target_id)
+        if target_id in self._cold_started_by_id:
+            self._lost_load_ends.extend(
+                ends_at
+                for ends_at, loading, order in self._pending_orders
+                if loading is engine and not order.adapter
+            )
         self._pending_orders = [
             entry for entry in self._pending_orders if entry[1] is not engine
         ]
@@ -552,7 +562,10 @@
         if engine.is_cold(order.model):
             self.orders_by_kind['cold load'] += 1
             self._cold_started_by_id[engine.target_id] = now
-            concurrent = len(self._cold_started_by_id)
+            lost = [
+                ends_at for ends_at in self._lost_load_ends if ends_at > now
+            ]
+            concurrent = len(self._cold_started_by_id) + len(lost)
             seconds *= max(1, concurrent / self.workload.full_speed_loads)
         finished_at = now + seconds + _MESSAGE_SECONDS
         self._pending_orders.append((finished_at, engine, order))
