Reproduce instances that serve far less while they reach no target

Two gateway processes before two engines and two services; a proxy outside them cuts one gateway's connections: they hang, are reset, or live on while new ones are refused.

--- /dev/null
+++ b/tests/platform/cut_off.feature
@@ -0,0 +1,20 @@
+Feature: Instances that reach no target
+  Guards against instances that reject their callers' requests, and a leader that
+  goes on leading, while only their own connections to the targets are cut.
+
+  Background:
+    Given two gateways on the platform
+
+  Scenario Outline: A cut-off <role> serves as often as the others; old connections <old>
+    When callers use both gateways, and the connections of <gateway> to targets <old>
+    Then from 3 seconds after the cut both gateways serve nine in ten
+    And no order ran twice
+
+    Examples:
+      | role   | gateway | old     |
+      | leader | g1      | hang    |
+      | leader | g1      | reset   |
+      | leader | g1      | live on |
+      | member | g2      | hang    |
+      | member | g2      | reset   |
+      | member | g2      | live on |
--- /dev/null
+++ b/tests/steps/cut_off_steps.py
@@ -0,0 +1,109 @@
+"""Steps for instances that are cut off from all targets."""
+
+import itertools
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import then, when
+
+from tests.support.gateway_cluster import KEY, request
+
+_ids = itertools.count()
+_INTERVAL_SECONDS = 0.25
+# Time before the cut, and from the cut to the end of the load.
+_WARM_UP_SECONDS = 2.0
+_CUT_SECONDS = 8.0
+# First tries count from this time after the cut on.
+_SETTLED_SECONDS = 3.0
+_STATUS_OK = 200
+
+
+def _send(port, method, path, model=''):
+    """Send a first try; return its start, kind, id and status."""
+    request_id = f'cut-{next(_ids)}'
+    headers = {
+        'X-Attempt-Id': request_id,
+        'X-Deadline-Ms': '4000',
+        'X-Key': KEY,
+    }
+    if model:
+        headers['X-Model'] = model
+        headers['X-Token-Count'] = '20,30'
+        headers['X-Prompt-Prefix'] = f'ab:10,{next(_ids):x}:10'
+    sent_at = time.monotonic()
+    body = b'' if method == 'GET' else b'{}'
+    try:
+        status = request(port, method, path, headers.items(), body)[0]
+    except OSError as error:
+        status = repr(error)
+    return sent_at, f'{path} {model}', request_id, status
+
+
+@when(
+    'callers use both gateways, and the connections of {gateway:w} to targets '
+    '{old}',
+)
+def when_cut_under_load(context, gateway, old):
+    cluster = context.cluster
+    kinds = [
+        ('GET', '/stock/1'),
+        ('POST', '/order/1'),
+        ('POST', '/chat/x', 'm0'),
+    ]
+    rare = itertools.cycle(('m1', 'm2', 'm3'))
+    began_at = time.monotonic()
+    context.cut_at = 0
+    sent = {'g1': [], 'g2': []}
+    with ThreadPoolExecutor(64) as pool:
+        while time.monotonic() < began_at + _WARM_UP_SECONDS + _CUT_SECONDS:
+            if not context.cut_at and (
+                time.monotonic() >= began_at + _WARM_UP_SECONDS
+            ):
+                cluster.cut_off(gateway, old)
+                context.cut_at = time.monotonic()
+            every = [*kinds, ('POST', '/report/x', next(rare))]
+            for name, results in sent.items():
+                port = cluster.ports[name]['front']
+                results.extend(
+                    pool.submit(_send, port, *kind) for kind in every
+                )
+            time.sleep(_INTERVAL_SECONDS)
+    context.tries = {
+        name: [future.result() for future in results]
+        for name, results in sent.items()
+    }
+
+
+@then('from 3 seconds after the cut both gateways serve nine in ten')
+def then_served(context):
+    since = context.cut_at + _SETTLED_SECONDS
+    shares = {}
+    failures = Counter()
+    for name, tries in context.tries.items():
+        counted = [one for one in tries if one[0] >= since]
+        served = [one for one in counted if one[3] == _STATUS_OK]
+        shares[name] = len(served) / len(counted)
+        failures.update(
+            (name, kind, status)
+            for _, kind, _, status in counted
+            if status != _STATUS_OK
+        )
+    assert min(shares.values()) >= 0.9, (shares, failures)
+
+
+@then('no order ran twice')
+def then_once(context):
+    ran = Counter(
+        headers.get('x-attempt-id')
+        for name in ('s1', 's2')
+        for headers in context.cluster.engines[name].received_headers
+    )
+    orders = [
+        request_id
+        for tries in context.tries.values()
+        for _, kind, request_id, _ in tries
+        if kind.startswith('/order')
+    ]
+    assert orders
+    assert all(ran[request_id] <= 1 for request_id in orders), ran
--- a/tests/support/crashing_port.py
+++ b/tests/support/crashing_port.py
@@ -4,22 +4,39 @@
 
 import anyio
 
+from tests.support.cut_connections import reset
+
 _READ_BYTES = 65536
 
 
-async def serve_crashing_port(listener, port, crashed):
+async def serve_crashing_port(listener, port, crashed, cut):
     """Pass connections on to a port until a crash, then end them all.
 
     :param listener: anyio listener; closed at the crash.
     :param port: port of the server on the same host.
     :param crashed: event that is set at the crash.
+    :param cut: which processes do not get through.
     """
 
     async def handle(stream):
+        try:
+            await pass_through(stream)
+        finally:
+            cut.forget(stream)
+
+    async def pass_through(stream):
+        if cut.refuses(stream):
+            reset(stream)
+            await anyio.aclose_forcefully(stream)
+            return
         server = await anyio.connect_tcp('127.0.0.1', port)
+
+        def hangs():
+            return cut.hangs(stream)
+
         async with stream, server, anyio.create_task_group() as tasks:
-            tasks.start_soon(_copy, stream, server, tasks.cancel_scope)
-            tasks.start_soon(_copy, server, stream, tasks.cancel_scope)
+            for ends in ((stream, server), (server, stream)):
+                tasks.start_soon(_copy, *ends, tasks.cancel_scope, hangs)
 
     async def accept():
         with contextlib.suppress(anyio.ClosedResourceError):
@@ -35,9 +52,11 @@
         tasks.cancel_scope.cancel()
 
 
-async def _copy(source, sink, scope):
+async def _copy(source, sink, scope, hangs):
     try:
         while True:
-            await sink.send(await source.receive(_READ_BYTES))
+            received = await source.receive(_READ_BYTES)
+            if not hangs():
+                await sink.send(received)
     except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
         scope.cancel()
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -16,6 +16,7 @@
 import anyio
 
 from tests.support.crashing_port import serve_crashing_port
+from tests.support.cut_connections import Cut
 from tools.standins.objects import ObjectStoreServer
 from tools.standins.route_engine import RouteEngine
 from tools.standins.web import bind, serve_on
@@ -125,6 +126,9 @@
         self.engines = {}
         self.processes = {}
         self.ports = {}
+        self.cut = Cut(
+            lambda: [process.pid for process in self.processes.values()]
+        )
         self._folder = tempfile.TemporaryDirectory()
         self._started = threading.Event()
         self._loop = None
@@ -186,7 +190,9 @@
                 local_host='127.0.0.1', local_port=port
             )
             listener = listeners.listeners[0]
-            await serve_crashing_port(listener, server_port, engine.crashed)
+            await serve_crashing_port(
+                listener, server_port, engine.crashed, self.cut
+            )
             await anyio.sleep(RESTART_SECONDS)
             engine.restart()
 
@@ -276,6 +282,10 @@
         """Send a signal to a gateway."""
         self.processes[name].send_signal(number)
 
+    def cut_off(self, name, mode):
+        """Cut a gateway off from all targets, see ``Cut``."""
+        self.call(self.cut.begin, self.processes[name].pid, mode)
+
     def kill(self, name):
         """Kill a gateway."""
         self.signal(name, signal.SIGKILL)
