Pass requests to another instance while no target is reached

Cause: an instance sends requests to targets itself or rejects them. Connections that hang did not even count as lost.

Now health checks on new connections, made only while requests to a target fail or get no answer for 0.5 s, tell whether a service is lost: none of three targets answers, and nothing comes on old connections. Its requests then go to another instance, over the encrypted connections between them: an offer first, so that an instance that is frozen or gone can't run a request later, then the request, then the answer in numbered parts. The caller's instance charges the organisation. A request that may have run and may not be repeated is not passed on. An instance that is cut off itself declines. Bytes of old connections no longer count as a sign that new ones can be opened.

--- a/cowsliprack/coordination/target_selector.py
+++ b/cowsliprack/coordination/target_selector.py
@@ -6,6 +6,7 @@
 or silent ones are penalised.
 """
 
+import math
 import random
 from collections import Counter
 from collections.abc import Iterable
@@ -53,6 +54,7 @@
     :param unreachable_since: when connections started to fail; ``None`` while
         they succeed.
     :param seconds: average time to first byte; 0 before the first response.
+    :param answered_at: time of the last response byte, seconds.
     """
 
     silent_since: float | None = None
@@ -60,6 +62,7 @@
     avoided_until: float = 0
     unreachable_since: float | None = None
     seconds: float = 0
+    answered_at: float = float('-inf')
 
 
 @dataclass(slots=True)
@@ -167,16 +170,24 @@
         counts = self._names_by_id.get(target_id)
         return counts[model] if counts else 0
 
-    def record_bytes(self, target_id: str, now: float) -> None:
+    def record_bytes(
+        self, target_id: str, now: float, sent_at: float = math.inf
+    ) -> None:
         """Record that bytes of a response have arrived.
 
         :param target_id: id of the target.
         :param now: seconds.
+        :param sent_at: when the request was sent, seconds. Old connections may
+            live on while new ones fail, so bytes of an earlier request do not
+            show that the target can be reached again.
         """
         health = self.health_by_id.get(target_id)
         if health is None:
             return
-        health.unreachable_since = None
+        health.answered_at = now
+        lost_at = health.unreachable_since
+        if lost_at is not None and sent_at > lost_at:
+            health.unreachable_since = None
         if health.silent_since is not None:
             health.silent_since = now
 
@@ -210,7 +221,7 @@
                 self.silence(target_id, now),
             )
             for target_id, counts in self._names_by_id.items()
-            if self.own_by_id[target_id] or self._is_disconnected(target_id)
+            if self.own_by_id[target_id] or self.is_disconnected(target_id)
         )
 
     def _count(
@@ -266,6 +277,42 @@
         if health.unreachable_since is None:
             health.unreachable_since = now
 
+    def record_reached(self, target_id: str) -> None:
+        """Record that a check of the target was answered.
+
+        :param target_id: id of the target.
+        """
+        health = self.health_by_id.get(target_id)
+        if health is not None and health.unreachable_since is not None:
+            health.unreachable_since = None
+            health.avoided_until = 0
+            health.failures = 0
+
+    def has_answered_since(self, target_id: str, since: float) -> bool:
+        """Return whether bytes of a response have arrived since a time.
+
+        :param target_id: id of the target.
+        :param since: seconds.
+        """
+        health = self.health_by_id.get(target_id)
+        return health is not None and health.answered_at >= since
+
+    def has_failed(self, target_id: str) -> bool:
+        """Return whether the last request to a target failed.
+
+        :param target_id: id of the target.
+        """
+        health = self.health_by_id.get(target_id)
+        return health is not None and bool(health.failures)
+
+    def is_disconnected(self, target_id: str) -> bool:
+        """Return whether connections to a target fail.
+
+        :param target_id: id of the target.
+        """
+        health = self.health_by_id.get(target_id)
+        return health is not None and health.unreachable_since is not None
+
     def update_reported(self, running_by_id: dict[str, int]) -> None:
         """Apply the numbers of running requests reported by the leader.
 
@@ -331,14 +378,10 @@
 
     def _is_unreachable(self, target_id: str, now: float) -> bool:
         # When the backoff ends, the next request tries it again.
-        return self._is_disconnected(target_id) and (
+        return self.is_disconnected(target_id) and (
             now < self.health_by_id[target_id].avoided_until
         )
 
-    def _is_disconnected(self, target_id: str) -> bool:
-        health = self.health_by_id.get(target_id)
-        return health is not None and health.unreachable_since is not None
-
     def _median_seconds(self, records: list[TargetRecord]) -> float:
         known = sorted(
             health.seconds
--- a/cowsliprack/exceptions.py
+++ b/cowsliprack/exceptions.py
@@ -178,6 +178,10 @@
         self.unreachable = unreachable
 
 
+class TargetsUnreachableError(CowsliprackError):
+    """No target of the service is reached from this instance."""
+
+
 class ConfigurationError(CowsliprackError):
     """A questionnaire, setting or stored object is invalid.
 
--- a/cowsliprack/platform/wire.py
+++ b/cowsliprack/platform/wire.py
@@ -74,6 +74,7 @@
     name: str
     max_conns: int = 64
     engine: _Engine | None = None
+    health_path: str = '/healthz'
 
 
 class _Limits(msgspec.Struct):
@@ -300,11 +301,14 @@
 
 def _to_service(wire: _Service) -> ServiceSpec:
     if wire.engine is None:
-        return ServiceSpec(wire.name, wire.max_conns)
+        return ServiceSpec(
+            wire.name, wire.max_conns, health_path=wire.health_path
+        )
     engine = wire.engine
     return ServiceSpec(
         name=wire.name,
         max_connections=wire.max_conns,
+        health_path=wire.health_path,
         engine=EngineSpec(
             slots=engine.slots,
             token_capacity=engine.kv_capacity,
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -302,8 +302,102 @@
     version_ages: dict[str, dict[str, float]] = {}
 
 
+class PassOffer(PeerMessage, frozen=True):
+    """Question whether an instance takes over a request.
+
+    The request follows only after a positive answer, so that an instance that
+    is frozen or gone can't run it later.
+
+    :param address: address at which other instances reach the sender.
+    :param number: identifies the request among those of the sender.
+    :param service: whose targets the sender does not reach.
+    """
+
+    instance_id: str
+    address: str
+    number: int
+    service: str
+
+
+class PassReply(PeerMessage, frozen=True):
+    """Answer to an offer.
+
+    :param number: of the offer.
+    """
+
+    instance_id: str
+    number: int
+    is_accepted: bool
+
+
+class PassedRequest(PeerMessage, frozen=True):
+    """A caller's request that another instance is to serve.
+
+    :param instance_id: of the instance that received it.
+    :param address: address at which other instances reach that instance.
+    :param number: of the offer.
+    :param path: as the caller sent it, without the query.
+    :param waited: seconds since the caller's request arrived.
+    :param ran_on: targets on which it may have run.
+    :param runs: number of sends after which it may have run.
+    """
+
+    instance_id: str
+    address: str
+    number: int
+    method: str
+    path: str
+    query: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    waited: float
+    ran_on: tuple[str, ...] = ()
+    runs: int = 0
+
+
+class PassedPart(PeerMessage, frozen=True):
+    """A part of the answer to a passed request.
+
+    :param instance_id: of the instance that serves it.
+    :param number: of the request.
+    :param sequence: 0 for the first part of the answer.
+    :param status: in the first part, else 0.
+    :param body: part of the body.
+    :param is_last: whether no part follows.
+    :param is_broken: whether the answer ends early.
+    :param may_have_run: in the last part, whether a target may have run the
+        request.
+    """
+
+    instance_id: str
+    number: int
+    sequence: int
+    status: int = 0
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    body: bytes = b''
+    is_last: bool = False
+    is_broken: bool = False
+    may_have_run: bool = True
+
+
+class PassCancelled(PeerMessage, frozen=True):
+    """Notice that the caller of a passed request does not wait any longer.
+
+    :param instance_id: of the instance that received the request.
+    :param number: of the request.
+    """
+
+    instance_id: str
+    number: int
+
+
 GatewayMessage = (
-    MemberReport
+    PassOffer
+    | PassReply
+    | PassedRequest
+    | PassedPart
+    | PassCancelled
+    | MemberReport
     | LeaderView
     | CreditAsk
     | CreditAnswer
--- a/cowsliprack/state/routing_table.py
+++ b/cowsliprack/state/routing_table.py
@@ -95,11 +95,13 @@
 
     :param max_connections: limit of one target for the connections of all
         instances.
+    :param health_path: path of the targets' health check.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None = None
+    health_path: str = '/healthz'
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -113,6 +113,7 @@
                 max_relay_age_seconds=settings.max_relay_age_seconds,
                 store=self.bindings.store,
                 engines=self.bindings.engines,
+                client=self.client,
                 sockets=self.sockets,
                 fleet=self.fleet,
                 target_selector=target_selector,
@@ -146,9 +147,11 @@
                 demand_changed=self.region.demand_changed,
                 clock=read_clock,
                 poison=poison.tracker,
+                is_cut_off=self.region.reach_watch.reachability.is_cut_off,
             ),
             poison=poison,
             origins=self.region.origins,
+            passing=self.region.passing,
             apply_retry_limit=lambda budget: apply_retry_limit(
                 budget,
                 retry_limit,
@@ -170,6 +173,7 @@
             stopped=self.is_stopped,
             clock=read_clock,
         )
+        self.region.passing.serve = self.server.serve_passed
 
     def current_table(self) -> RoutingTable:
         """Return the active routing table."""
--- a/cowsliprack/transport/peer_sockets.py
+++ b/cowsliprack/transport/peer_sockets.py
@@ -150,23 +150,26 @@
         if dealer is not None:
             dealer.close(linger=0)
 
-    def send(self, instance_id: str, message: AnyPeerMessage) -> None:
+    def send(self, instance_id: str, message: AnyPeerMessage) -> bool:
         """Queue a message to a connected peer.
 
         :param instance_id: id of the peer; unknown ids are ignored.
         :param message: message to send.
+        :returns: whether the message was queued.
         """
         dealer = self._dealers_by_id.get(instance_id)
         if dealer is None:
-            return
+            return False
         frame = encode_message(message)
         if len(frame) > MAX_FRAME_BYTES:
             self.dropped_messages += 1
-            return
+            return False
         try:
             dealer.send(frame, zmq.NOBLOCK)
         except zmq.ZMQError:
             self.dropped_messages += 1
+            return False
+        return True
 
     async def receive(self) -> tuple[str, AnyPeerMessage]:
         """Return the sender's id and the next message."""
--- /dev/null
+++ b/cowsliprack/transport/reach_watch.py
@@ -0,0 +1,96 @@
+"""Checks whether this instance reaches the targets of its services."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import httpx
+
+from cowsliprack.coordination.reachability import Reachability
+from cowsliprack.coordination.target_selector import TargetSelector
+from cowsliprack.logs import log_decision
+from cowsliprack.state.routing_table import RoutingTable, ServiceSpec
+from cowsliprack.state.target_registry import TargetRecord, TargetRegistry
+
+_CHECK_INTERVAL_SECONDS = 0.4
+# Longest wait for the answer to a check, which takes a few milliseconds.
+_CHECK_TIMEOUT_SECONDS = 0.4
+
+
+@dataclass(slots=True)
+class ReachWatch:
+    """Task that checks targets while there are signs of a lost path.
+
+    :param selector: health of the targets as requests show it.
+    :param client: HTTP client for the checks.
+    :param table: returns the active routing table.
+    :param clock: seconds; must keep running during suspension.
+    """
+
+    registry: TargetRegistry
+    selector: TargetSelector
+    client: httpx.AsyncClient
+    table: Callable[[], RoutingTable]
+    clock: Callable[[], float]
+    reachability: Reachability = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin without a suspicion."""
+        self.reachability = Reachability(self.registry, self.selector)
+
+    async def run(self, changed: Callable[[], None]) -> None:
+        """Check until cancelled.
+
+        :param changed: called when a service is lost or regained.
+        """
+        while True:
+            await anyio.sleep(_CHECK_INTERVAL_SECONDS)
+            services_by_name = self.table().services_by_name
+            self.reachability.forget(services_by_name)
+            cut_off = self.reachability.cut_off_services()
+            async with anyio.create_task_group() as tasks:
+                for service in services_by_name.values():
+                    tasks.start_soon(self._check_service, service)
+            if self.reachability.cut_off_services() != cut_off:
+                changed()
+
+    async def _check_service(self, service: ServiceSpec) -> None:
+        since = self.clock()
+        checked = self.reachability.targets_to_check(service.name, since)
+        if not checked:
+            return
+        reached_ids: set[str] = set()
+        async with anyio.create_task_group() as tasks:
+            for record in checked:
+                tasks.start_soon(self._check, service, record, reached_ids)
+        if not self.reachability.record_checks(
+            service.name, checked, reached_ids, since, self.clock()
+        ):
+            return
+        log_decision(
+            'reachability',
+            'lost'
+            if self.reachability.is_cut_off(service.name)
+            else 'regained',
+            'health checks of targets on new connections',
+            service=service.name,
+            checked=[target.target_id for target in checked],
+            reached=sorted(reached_ids),
+        )
+
+    async def _check(
+        self,
+        service: ServiceSpec,
+        record: TargetRecord,
+        reached_ids: set[str],
+    ) -> None:
+        """Add the target to the reached ones if it gives any answer."""
+        url = f'http://{record.address}{service.health_path}'
+        request = httpx.Request('GET', url, extensions={'fresh': True})
+        try:
+            with anyio.fail_after(_CHECK_TIMEOUT_SECONDS):
+                response = await self.client.send(request)
+        except (httpx.HTTPError, TimeoutError):
+            return
+        await response.aclose()
+        reached_ids.add(record.target_id)
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -21,6 +21,11 @@
     MemberReport,
     OriginAnswer,
     OriginQuestion,
+    PassCancelled,
+    PassedPart,
+    PassedRequest,
+    PassOffer,
+    PassReply,
     StreamsBegun,
 )
 from cowsliprack.protocol.peer import (
@@ -31,8 +36,10 @@
 from cowsliprack.state.routing_table import OrganisationLimits
 from cowsliprack.transport.lease_calls import execute_lease_action
 from cowsliprack.transport.origin_exchange import OriginExchange
+from cowsliprack.transport.reach_watch import ReachWatch
 from cowsliprack.transport.region_notices import RegionNotices
 from cowsliprack.transport.region_term import RegionContext, RegionTerm
+from cowsliprack.transport.request_passing import RequestPassing
 
 # A leader plans for all engines, so an instance with fewer cores leaves a free
 # lease to other instances for the delay below.
@@ -84,6 +91,8 @@
     _reconnected_at: float = 0
     _notices: RegionNotices = field(init=False)
     origins: OriginExchange = field(init=False)
+    passing: RequestPassing = field(init=False)
+    reach_watch: ReachWatch = field(init=False)
     _credit_request_count: int = 0
     _pending_credit_by_number: dict[int, _PendingCreditRequest] = field(
         default_factory=dict
@@ -111,6 +120,26 @@
                 context.fleet, context.freshness, context.clock()
             ),
         )
+        self.reach_watch = ReachWatch(
+            context.fleet.registry,
+            context.target_selector,
+            context.client,
+            context.table,
+            context.clock,
+        )
+        self.passing = RequestPassing(
+            context.instance_id,
+            context.address,
+            self._deliver,
+            lambda: self.origins.peers,
+            lambda service: (
+                not (
+                    self.leaving
+                    or self.reach_watch.reachability.is_cut_off(service)
+                )
+            ),
+            context.clock,
+        )
         self.lease = Lease(
             context.region,
             context.instance_id,
@@ -126,6 +155,8 @@
             tasks.start_soon(self._keep_lease)
             tasks.start_soon(self._receive)
             tasks.start_soon(self._report)
+            tasks.start_soon(self.passing.run)
+            tasks.start_soon(self.reach_watch.run, self.demand_changed)
             await self._lead()
 
     def demand_changed(self) -> None:
@@ -262,15 +293,15 @@
         instance_id: str,
         address: str,
         message: AnyPeerMessage,
-    ) -> None:
-        """Send a message to an instance, possibly to this one."""
+    ) -> bool:
+        """Send a message to an instance; return whether it was queued."""
         if instance_id == self.context.instance_id:
             self._handle_message(instance_id, message)
-            return
+            return True
         if address and self._address_by_peer.get(instance_id) != address:
             self._address_by_peer[instance_id] = address
             self.context.sockets.connect(instance_id, address)
-        self.context.sockets.send(instance_id, message)
+        return self.context.sockets.send(instance_id, message)
 
     async def _receive(self) -> None:
         while True:
@@ -299,6 +330,14 @@
                 self.origins.answer(message)
             case OriginAnswer():
                 self.origins.apply_answer(message)
+            case (
+                PassOffer()
+                | PassReply()
+                | PassedRequest()
+                | PassedPart()
+                | PassCancelled()
+            ):
+                self.passing.handle(message)
             case ConfigurationCopy():
                 self.context.apply_configuration_copy(message.spec)
                 self._report_due.set()
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import anyio
+import httpx
 import msgspec
 import structlog
 
@@ -52,7 +53,7 @@
 
 _log = structlog.get_logger('cowsliprack.region')
 
-Deliver = Callable[[str, str, AnyPeerMessage], None]
+Deliver = Callable[[str, str, AnyPeerMessage], bool]
 
 
 @dataclass(slots=True)
@@ -65,6 +66,7 @@
     :param cores: number of CPU cores that the instance may use.
     :param max_relay_age_seconds: age up to which state relayed by the leader
         replaces a reading of the store.
+    :param client: HTTP client for targets.
     :param poison: counts crashes against requests and prompt parts.
     :param table: returns the active routing table.
     :param configuration_copy: returns the active configuration as stored.
@@ -85,6 +87,7 @@
     max_relay_age_seconds: float
     store: ObjectStore
     engines: EngineControl
+    client: httpx.AsyncClient
     sockets: PeerSockets
     fleet: FleetView
     target_selector: TargetSelector
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -11,7 +11,13 @@
 from cowsliprack.coordination.fleet_view import FleetView
 from cowsliprack.coordination.retry import RetryBudget
 from cowsliprack.coordination.target_selector import TargetSelector
-from cowsliprack.exceptions import ErrorKind, Ran, ServingError, TargetError
+from cowsliprack.exceptions import (
+    ErrorKind,
+    Ran,
+    ServingError,
+    TargetError,
+    TargetsUnreachableError,
+)
 from cowsliprack.logs import log_decision
 from cowsliprack.protocol.dialect import (
     Dialect,
@@ -27,6 +33,7 @@
 from cowsliprack.transport.bounded_body import MAX_ANSWER_BYTES, read_body
 from cowsliprack.transport.origin_exchange import OriginExchange
 from cowsliprack.transport.poison_watch import PoisonWatch
+from cowsliprack.transport.request_passing import RequestPassing
 from cowsliprack.transport.routed_request import RoutedRequest
 from cowsliprack.transport.target_client import SendTrace
 from cowsliprack.transport.target_finder import TargetFinder, shutting_down
@@ -59,6 +66,7 @@
 
     :param finder: chooses the target of each send.
     :param poison: counts crashes against requests and prompt parts.
+    :param passing: has other instances serve requests.
     :param origins: knows which software version began a stream.
     :param apply_retry_limit: sets the limit of a retry budget, which depends
         on the number of instances.
@@ -76,6 +84,7 @@
     finder: TargetFinder
     poison: PoisonWatch
     origins: OriginExchange
+    passing: RequestPassing
     apply_retry_limit: Callable[[RetryBudget], None]
     table: Callable[[], RoutingTable]
     demand_changed: Callable[[], None]
@@ -136,7 +145,12 @@
         if request.metadata.resume_after and request.may_be_taken_up():
             await self._take_up(request)
         while True:
-            target = await self.finder.find(request)
+            try:
+                target = await self.finder.find(request)
+            except TargetsUnreachableError:
+                if await self._pass_on(request):
+                    return
+                continue
             try:
                 await self._attempt(request, target)
             except TargetError as failure:
@@ -144,6 +158,14 @@
             else:
                 return
 
+    async def _pass_on(self, request: RoutedRequest) -> bool:
+        """Return whether another instance has served the request."""
+        if request.is_in_doubt() and not request.is_repeatable():
+            return False
+        is_served = await self.passing.pass_on(request)
+        request.may_pass_on = False
+        return is_served
+
     async def _take_up(self, request: RoutedRequest) -> None:
         """Find out where a stream may go on that a caller takes up again."""
         origin = await self.origins.find(
@@ -426,7 +448,9 @@
     ) -> None:
         headers = response.headers.raw
         status = response.status_code
-        self.target_selector.record_bytes(target.target_id, self.clock())
+        self.target_selector.record_bytes(
+            target.target_id, self.clock(), sent_at
+        )
         if not self.dialect.is_response_to(
             headers, request.metadata.request_id
         ):
@@ -532,7 +556,7 @@
     ) -> None:
         """Record progress; bytes that complete no event are none."""
         now = self.clock()
-        self.target_selector.record_bytes(target.target_id, now)
+        self.target_selector.record_bytes(target.target_id, now, sent_at)
         self.poison.on_events(request.in_flight_id)
         if not request.first_byte_at:
             self._record_first_byte(request, target, sent_at)
--- a/cowsliprack/transport/route_server.py
+++ b/cowsliprack/transport/route_server.py
@@ -16,6 +16,7 @@
 from cowsliprack.logs import log_decision
 from cowsliprack.metrics import Metrics
 from cowsliprack.protocol.dialect import Dialect, RequestMetadata
+from cowsliprack.protocol.gateway_messages import PassedRequest
 from cowsliprack.protocol.sse import error_body
 from cowsliprack.state.routing_table import (
     OrganisationLimits,
@@ -86,17 +87,41 @@
         exchange = exchange_from_scope(scope, receive, send, self.closing)
         self.open_requests += 1
         try:
-            await self._handle(exchange)
+            await self._handle(exchange, self.clock())
         finally:
             self.open_requests -= 1
 
-    async def _handle(self, exchange: Exchange) -> None:
-        arrived_at = self.clock()
+    async def serve_passed(
+        self,
+        exchange: Exchange,
+        passed: PassedRequest,
+        arrived_at: float,
+    ) -> bool:
+        """Serve a request that another instance has passed on.
+
+        :param exchange: with the instance that received the request.
+        :param passed: the request.
+        :param arrived_at: when it arrived there, seconds.
+        :returns: whether it may have run.
+        """
+        self.open_requests += 1
+        try:
+            request = await self._handle(exchange, arrived_at, passed)
+        finally:
+            self.open_requests -= 1
+        return request is not None and request.is_in_doubt()
+
+    async def _handle(
+        self,
+        exchange: Exchange,
+        arrived_at: float,
+        passed: PassedRequest | None = None,
+    ) -> RoutedRequest | None:
         metadata = self.dialect.read_request(exchange.headers)
         request: RoutedRequest | None = None
         outcome = 'answered'
         try:
-            request = await self._admit(exchange, metadata, arrived_at)
+            request = await self._admit(exchange, metadata, arrived_at, passed)
             outcome = await self._serve(request)
         except ServingError as error:
             outcome = error.kind.value
@@ -112,12 +137,14 @@
                     ServingError(ErrorKind.internal, 'internal error'),
                 )
         self._record_request(exchange, metadata, request, outcome, arrived_at)
+        return request
 
     async def _admit(
         self,
         exchange: Exchange,
         metadata: RequestMetadata,
         arrived_at: float,
+        passed: PassedRequest | None,
     ) -> RoutedRequest:
         if self.stopped():
             # Its connection may be closed as idle, so it goes to no target.
@@ -137,7 +164,8 @@
             raise ServingError(
                 ErrorKind.bad_request, 'the request id header is missing'
             )
-        tokens = await self._charge(organisation, metadata)
+        # The instance that passed it on has charged the organisation.
+        tokens = 0 if passed else await self._charge(organisation, metadata)
         seconds_allowed = route.time_limit
         if metadata.seconds_left is not None:
             seconds_allowed = min(seconds_allowed, metadata.seconds_left)
@@ -160,6 +188,10 @@
                 part_digest(part_id)
                 for part_id, _ in metadata.prompt_parts[:-1]
             ),
+            ran_on=set(passed.ran_on) if passed else set(),
+            runs=passed.runs if passed else 0,
+            is_passed=passed is not None,
+            may_pass_on=passed is None,
         )
 
     def _find_route(
@@ -308,6 +340,7 @@
             model=metadata.model,
             adapter=metadata.adapter,
             targets=request.tried if request else [],
+            is_passed=request.is_passed if request else False,
             sends=request.sends if request else 0,
             may_have_run=request.is_in_doubt() if request else False,
             first_ms=request.first_byte_ms() if request else None,
--- a/cowsliprack/transport/routed_request.py
+++ b/cowsliprack/transport/routed_request.py
@@ -41,6 +41,8 @@
     :param digest: identifies the request and its repetitions.
     :param part_digests: identify the parts of its prompt that other requests
         may share.
+    :param is_passed: whether another instance has passed it on to this one.
+    :param may_pass_on: whether another instance may still take it over.
     :param splitter: splits the response's event stream into events.
     """
 
@@ -66,6 +68,8 @@
     in_flight_id: int = 0
     begun_version: str = ''
     trace: SendTrace | None = None
+    is_passed: bool = False
+    may_pass_on: bool = True
     splitter: EventSplitter = field(default_factory=EventSplitter)
     first_byte_at: float = 0
     outcome: str = ''
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -16,7 +16,11 @@
     Waiter,
     WaitingRequests,
 )
-from cowsliprack.exceptions import ErrorKind, ServingError
+from cowsliprack.exceptions import (
+    ErrorKind,
+    ServingError,
+    TargetsUnreachableError,
+)
 from cowsliprack.state.routing_table import Route, RoutingTable
 from cowsliprack.state.target_registry import TargetRecord
 from cowsliprack.transport.routed_request import RoutedRequest
@@ -33,6 +37,10 @@
 _STOP_RETRY_SECONDS = 0.1
 
 
+def _is_never_cut_off(_service: str) -> bool:
+    return False
+
+
 @dataclass(slots=True)
 class TargetFinder:
     """Chooses targets and holds the requests that wait for a model.
@@ -41,6 +49,7 @@
     :param demand_changed: called when a request begins to wait.
     :param clock: seconds; must keep running during suspension.
     :param poison: crashes by request and prompt part.
+    :param is_cut_off: returns whether no target of a service is reached.
     """
 
     fleet: FleetView
@@ -52,6 +61,7 @@
     clock: Callable[[], float]
     poison: PoisonTracker = field(default_factory=PoisonTracker)
     rng: random.Random = field(default_factory=random.Random)
+    is_cut_off: Callable[[str], bool] = _is_never_cut_off
 
     async def find(self, request: RoutedRequest) -> TargetRecord:
         """Return the target for a request, waiting for its turn if needed.
@@ -59,7 +69,9 @@
         :param request: admitted request.
         :raises ServingError: no target became available in time, or the
             request is no longer admitted.
+        :raises TargetsUnreachableError: another instance should serve it.
         """
+        self._check_reached(request)
         now = self.clock()
         limits = self.target_selector.limits
         limited = self._limited_targets(request, now)
@@ -97,6 +109,11 @@
                 self.demand_changed()
                 return await self._wait_for_target(request, waiter, limited)
 
+    def _check_reached(self, request: RoutedRequest) -> None:
+        may_pass_on = request.may_pass_on and not request.exchange.started
+        if may_pass_on and self.is_cut_off(request.service):
+            raise TargetsUnreachableError(request.service)
+
     def _limited_targets(self, request: RoutedRequest, now: float) -> list[str]:
         """Return the targets that could run a request and have a limit."""
         limits = self.target_selector.limits
@@ -164,6 +181,7 @@
         while True:
             if self.waiting_requests.closed:
                 raise shutting_down()
+            self._check_reached(request)
             now = self.clock()
             if is_isolated(self.fleet, self.freshness, now):
                 raise ServingError(
--- a/tests/steps/bounded_body_steps.py
+++ b/tests/steps/bounded_body_steps.py
@@ -172,6 +172,7 @@
             finder=_Finder(record),
             poison=poison,
             origins=lone_origins(),
+            passing=None,
             apply_retry_limit=lambda _budget: None,
             table=lambda: TABLE,
             demand_changed=lambda: None,
--- a/tests/steps/route_relay_steps.py
+++ b/tests/steps/route_relay_steps.py
@@ -35,6 +35,7 @@
         finder=None,
         poison=None,
         origins=None,
+        passing=None,
         apply_retry_limit=lambda budget: None,
         table=None,
         demand_changed=None,
--- a/tests/steps/route_streams_steps.py
+++ b/tests/steps/route_streams_steps.py
@@ -132,6 +132,7 @@
             finder=_Finder(record),
             poison=PoisonWatch(TargetRegistry(), time.monotonic),
             origins=lone_origins(),
+            passing=None,
             apply_retry_limit=lambda _budget: None,
             table=lambda: TABLE,
             demand_changed=lambda: None,
--- a/tests/support/cut_connections.py
+++ b/tests/support/cut_connections.py
@@ -83,7 +83,8 @@
     needle = f'0100007F:{port:04X}'
     for line in Path('/proc/net/tcp').read_text().splitlines()[1:]:
         columns = line.split()
-        if columns[1] == needle:
+        # Closed connections in TIME_WAIT have no inode.
+        if columns[1] == needle and columns[9] != '0':
             return columns[9]
     return ''
 
