Let a leader that reaches no engine hand over its lease

Cause: the lease depends on the store alone.

A leader that reaches no engine of a service now ends its term and releases the lease if another instance has lately reported that it does reach them; an instance that is cut off leaves a free lease to others for 4 s, like one with few cores. If nobody reaches the engines, nothing changes.

--- a/cowsliprack/coordination/lease.py
+++ b/cowsliprack/coordination/lease.py
@@ -217,6 +217,11 @@
             return None
         return self._write(self.fencing, now, releases=True)
 
+    def resume(self) -> None:
+        """Compete again once a release is completed."""
+        if not self._releasing:
+            self._released = False
+
     def on_read(
         self, stored: StoredObject | None, now: float, era: int = 0
     ) -> None:
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -320,6 +320,19 @@
                     and stated.age < AVOIDED_SECONDS
                 )
 
+    def successors(self, now: float) -> list[str]:
+        """Return the other instances that reach the engines.
+
+        :param now: seconds.
+        """
+        return [
+            member.report.instance_id
+            for member in self._live_members(now)
+            if member.report.instance_id != self.instance_id
+            and not member.report.cut_off
+            and not member.report.leaving
+        ]
+
     def _live_members(self, now: float) -> list[Member]:
         return [
             member
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -92,6 +92,7 @@
     :param leaving: whether the instance is shutting down.
     :param limits: limits that targets have named.
     :param peers_digest: digest of the sender's list of instances; 0 for none.
+    :param cut_off: whether the sender reaches no target of some service.
     """
 
     instance_id: str
@@ -111,6 +112,7 @@
     leaving: bool = False
     limits: tuple[LimitUse, ...] = ()
     peers_digest: int = 0
+    cut_off: bool = False
 
 
 class EngineView(msgspec.Struct, frozen=True, array_like=True):
--- a/cowsliprack/transport/reach_watch.py
+++ b/cowsliprack/transport/reach_watch.py
@@ -38,6 +38,14 @@
         """Begin without a suspicion."""
         self.reachability = Reachability(self.registry, self.selector)
 
+    def has_lost_engines(self) -> bool:
+        """Return whether orders to the engines of a service don't arrive."""
+        return any(
+            service.engine is not None
+            and self.reachability.is_cut_off(service.name)
+            for service in self.table().services_by_name.values()
+        )
+
     async def run(self, changed: Callable[[], None]) -> None:
         """Check until cancelled.
 
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -41,10 +41,10 @@
 from cowsliprack.transport.region_term import RegionContext, RegionTerm
 from cowsliprack.transport.request_passing import RequestPassing
 
-# A leader plans for all engines, so an instance with fewer cores leaves a free
-# lease to other instances for the delay below.
+# A leader plans for all engines, so an instance with fewer cores, or one that
+# reaches no engine, leaves a free lease to other instances for the delay below.
 _MIN_LEADER_CORES = 1.0
-_LOW_CPU_LEASE_DELAY_SECONDS = 4.0
+_LEASE_DELAY_SECONDS = 4.0
 _LEASE_CHECK_INTERVAL_SECONDS = 0.1
 # Interval of reports to the leader when nothing has changed.
 _REPORT_INTERVAL_SECONDS = 0.4
@@ -238,18 +238,26 @@
     async def _keep_lease(self) -> None:
         while True:
             now = self.context.clock()
-            action = self.lease.tick(now, competes=self._may_compete(now))
+            if self.term is not None and self.term.should_hand_over():
+                self.term.end()
+                action = self.lease.release(now)
+            else:
+                if not self.leaving:
+                    self.lease.resume()
+                action = self.lease.tick(now, competes=self._may_compete(now))
             if action is not None:
                 await self._carry_out(action)
             self._follow_lease_holder()
             await anyio.sleep(_LEASE_CHECK_INTERVAL_SECONDS)
 
     def _may_compete(self, now: float) -> bool:
-        """Return whether to compete; low-CPU instances wait at first."""
+        """Return whether to compete; instances that lead badly wait first."""
         since = max(self.context.fleet.updated_at, self._started_at)
-        return self.context.cores >= _MIN_LEADER_CORES or (
-            now - since > _LOW_CPU_LEASE_DELAY_SECONDS
+        leads_well = (
+            self.context.cores >= _MIN_LEADER_CORES
+            and not self.reach_watch.has_lost_engines()
         )
+        return leads_well or now - since > _LEASE_DELAY_SECONDS
 
     async def _carry_out(self, action: LeaseAction) -> None:
         context = self.context
@@ -282,6 +290,7 @@
                     self.lease,
                     self._deliver,
                     self.origins.version_ages,
+                    self.reach_watch,
                 )
                 self.term = term
                 await term.run()
@@ -450,6 +459,7 @@
             leaving=self.leaving,
             limits=context.target_selector.limits.uses(now),
             peers_digest=self.origins.peers_digest,
+            cut_off=self.reach_watch.has_lost_engines(),
         )
         is_silent = now - context.fleet.updated_at > _RECONNECT_AFTER_SECONDS
         if is_silent and now - self._reconnected_at > _RECONNECT_AFTER_SECONDS:
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -38,6 +38,7 @@
 from cowsliprack.transport.order_executor import OrderExecutor
 from cowsliprack.transport.peer_sockets import PeerSockets
 from cowsliprack.transport.poison_watch import PoisonWatch
+from cowsliprack.transport.reach_watch import ReachWatch
 
 # Changes within this time are planned and sent to the members as one batch. The
 # time grows with the number of members, because planning and sending take some
@@ -110,6 +111,7 @@
     :param deliver: sends a message to an instance (id, address, message).
     :param version_ages: returns the seconds since each software version of each
         service was seen.
+    :param reach_watch: knows the services of which no target is reached.
     """
 
     def __init__(
@@ -118,12 +120,14 @@
         lease: Lease,
         deliver: Deliver,
         version_ages: Callable[[], dict[str, dict[str, float]]],
+        reach_watch: ReachWatch,
     ) -> None:
         """Create an empty state; no order is sent before ``run``."""
         self._context = context
         self._lease = lease
         self._deliver = deliver
         self._version_ages = version_ages
+        self._reach_watch = reach_watch
         self._ended = False
         self._plan_due = anyio.Event()
         self._leader_credit = LeaderTokenCredit(context.credit.window)
@@ -154,6 +158,21 @@
         """Send no more orders; the lease is about to be released."""
         self._ended = True
 
+    def should_hand_over(self) -> bool:
+        """Return whether another instance reaches engines and this one none."""
+        if self._ended or not self._reach_watch.has_lost_engines():
+            return False
+        now = self._context.clock()
+        successors = self.state.successors(now)
+        if successors:
+            log_decision(
+                'hand_over',
+                successors[:_MAX_LOGGED_NAMES],
+                'this leader reaches no engine, other instances do',
+                fencing=self.state.fencing,
+            )
+        return bool(successors)
+
     async def run(self) -> None:
         """Lead until the lease is lost or released."""
         _log.info('term_begins', fencing=self.state.fencing)
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -200,6 +200,7 @@
         lease,
         lambda _instance, _address, message: context.sent.append(message),
         dict,
+        None,
     )
 
 
