Heed what targets say of themselves in their answers

- Server-Leaving: 1: the instance sends nothing more to this process of the target; writing its entry again changes nothing, a new process does.
- Retry-After of a 503: no request of the instance goes there for so long.
A request waits if the pause ends in time, else it is rejected at once with the time left.
- Server-Brittle = N: not more requests than the target has slots, by the numbers of all instances, and after a rejection a pause of instances / N seconds, so that one rejection of each instance keeps to the rate.

--- a/cowsliprack/coordination/target_selector.py
+++ b/cowsliprack/coordination/target_selector.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from cowsliprack.coordination.target_limits import TargetLimits
+from cowsliprack.coordination.target_pauses import TargetPauses
 from cowsliprack.protocol.gateway_messages import EngineUse
 from cowsliprack.state.target_registry import TargetRecord
 
@@ -77,6 +78,7 @@
         of that report.
     :param started_by_model: number of requests ever started.
     :param limits: request rates that targets have named.
+    :param pauses: times in which targets want no requests.
     """
 
     zone: str
@@ -87,6 +89,7 @@
     health_by_id: dict[str, TargetHealth] = field(default_factory=dict)
     started_by_model: Counter[str] = field(default_factory=Counter)
     limits: TargetLimits = field(default_factory=TargetLimits)
+    pauses: TargetPauses = field(default_factory=TargetPauses)
     _names_by_id: dict[str, Counter[str]] = field(default_factory=dict)
     _last_by_prompt: dict[str, str] = field(default_factory=dict)
 
@@ -331,6 +334,7 @@
         # they end.
         kept = set(known).union(+self.own_by_id)
         self.limits.prune(kept)
+        self.pauses.prune(kept)
         for state_by_id in (
             self.own_by_id,
             self.reported_by_id,
--- a/cowsliprack/platform/headers.py
+++ b/cowsliprack/platform/headers.py
@@ -9,6 +9,7 @@
     ForwardingMetadata,
     HeaderPairs,
     RequestMetadata,
+    TargetNotice,
 )
 
 _ATTEMPT_ID = b'x-attempt-id'
@@ -29,6 +30,12 @@
 _NOT_RUN = b'x-not-run'
 # Requests per second that a target in need takes from all instances together.
 _LIMIT = b'server-limit'
+_LEAVING = b'server-leaving'
+_LEAVING_TEXT = b'1'
+# Rejections per second after which a target fails.
+_BRITTLE = b'server-brittle'
+_RETRY_AFTER = b'retry-after'
+_UNAVAILABLE_STATUS = 503
 _MISDIRECTED_STATUS = 421
 _MS = 1000
 # Seconds by which the deadline sent to a target is earlier than the caller's,
@@ -159,11 +166,32 @@
     :param headers: headers of the response.
     :returns: ``None`` if it names none or one that is not a number.
     """
-    text = _find_header(headers, _LIMIT)
+    return _find_number(headers, _LIMIT)
+
+
+def read_notice(status: int, headers: HeaderPairs) -> TargetNotice:
+    """Return what a target says of itself.
+
+    :param status: of the response.
+    :param headers: headers of the response.
+    """
+    leaving = _find_header(headers, _LEAVING)
+    retry_after = None
+    if status == _UNAVAILABLE_STATUS:
+        retry_after = _find_number(headers, _RETRY_AFTER)
+    return TargetNotice(
+        leaving is not None and leaving.strip() == _LEAVING_TEXT,
+        retry_after or 0,
+        _find_number(headers, _BRITTLE),
+    )
+
+
+def _find_number(headers: HeaderPairs, wanted: bytes) -> float | None:
+    text = _find_header(headers, wanted)
     if text is None:
         return None
-    rate = _parse_non_negative(text.decode('latin-1'))
-    return rate if rate is not None and math.isfinite(rate) else None
+    number = _parse_non_negative(text.decode('latin-1'))
+    return number if number is not None and math.isfinite(number) else None
 
 
 def _find_header(headers: HeaderPairs, wanted: bytes) -> bytes | None:
@@ -207,5 +235,6 @@
     is_response_to=is_response_to,
     is_not_run_response=is_not_run_response,
     stated_limit=stated_limit,
+    read_notice=read_notice,
     is_misdirected=is_misdirected,
 )
--- a/cowsliprack/protocol/dialect.py
+++ b/cowsliprack/protocol/dialect.py
@@ -60,6 +60,22 @@
     priority: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class TargetNotice:
+    """What a target says of itself in the headers of a response.
+
+    :param is_leaving: whether it is about to end.
+    :param retry_after: seconds for which it wants no request of this instance;
+        0 for none.
+    :param brittle_rate: requests per second that it can turn away for want of
+        room before it fails; ``None`` if it is not brittle.
+    """
+
+    is_leaving: bool = False
+    retry_after: float = 0
+    brittle_rate: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Dialect:
     """Functions that read and write the headers.
@@ -73,6 +89,8 @@
         states that it has not run the request.
     :param stated_limit: returns the requests per second that a target says it
         takes from all instances together; ``None`` for no limit.
+    :param read_notice: returns what a target's response (status, headers) says
+        of the target.
     :param is_misdirected: whether the status states that the target is not
         the expected one or lacks the model.
     """
@@ -86,4 +104,5 @@
     is_response_to: Callable[[HeaderPairs, str], bool]
     is_not_run_response: Callable[[int, HeaderPairs], bool]
     stated_limit: Callable[[HeaderPairs], float | None]
+    read_notice: Callable[[int, HeaderPairs], TargetNotice]
     is_misdirected: Callable[[int], bool]
--- a/cowsliprack/state/target_registry.py
+++ b/cowsliprack/state/target_registry.py
@@ -84,6 +84,8 @@
         draining or were removed.
     :param stale_ids: targets that left, but are listed by the copy from which
         the store came back; they get no requests.
+    :param leaving_born_by_id: start of the process of targets that have said in
+        an answer that they are about to end; they get no requests either.
     """
 
     revision: int = -1
@@ -93,6 +95,7 @@
     removal_revision_by_id: dict[str, int] = field(default_factory=dict)
     left_born_by_id: dict[str, int] = field(default_factory=dict)
     stale_ids: set[str] = field(default_factory=set)
+    leaving_born_by_id: dict[str, int] = field(default_factory=dict)
 
     def replace(
         self,
@@ -183,8 +186,21 @@
             for record in self.service_targets(service)
             if record.state is TargetState.ready
             and record.target_id not in self.stale_ids
+            and not self._is_leaving(record)
         ]
 
+    def mark_leaving(self, target_id: str) -> bool:
+        """Send nothing more to a target that says that it is about to end.
+
+        :param target_id: id of the target.
+        :returns: whether this was not known.
+        """
+        record = self.records_by_id.get(target_id)
+        if record is None or self._is_leaving(record):
+            return False
+        self.leaving_born_by_id[target_id] = record.born
+        return True
+
     def service_targets(self, service: str) -> list[TargetRecord]:
         """Return all registered targets of a service.
 
@@ -195,6 +211,9 @@
             for target_id in sorted(self.ids_by_service.get(service, ()))
         ]
 
+    def _is_leaving(self, record: TargetRecord) -> bool:
+        return self.leaving_born_by_id.get(record.target_id) == record.born
+
     def _has_left(self, record: TargetRecord) -> bool:
         return self.left_born_by_id.get(record.target_id) == record.born
 
@@ -218,6 +237,7 @@
         if record is not None:
             self.left_born_by_id[target_id] = record.born
             self.stale_ids.discard(target_id)
+            self.leaving_born_by_id.pop(target_id, None)
             self._drop(target_id)
             self.change_revision_by_id.pop(target_id, None)
             self.removal_revision_by_id[target_id] = self.revision
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -160,6 +160,7 @@
             table=self.current_table,
             demand_changed=self.region.demand_changed,
             clock=read_clock,
+            instances=lambda: credit.instances,
         )
         self.server = RouteServer(
             dialect=self.bindings.dialect,
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -74,6 +74,8 @@
     :param demand_changed: called when a target starts its first request of a
         model or ends its last one.
     :param clock: seconds; must keep running during suspension.
+    :param instances: returns the number of instances that may send to the same
+        targets.
     :param ended: whether the instance stops and no request may go on.
     """
 
@@ -89,6 +91,7 @@
     table: Callable[[], RoutingTable]
     demand_changed: Callable[[], None]
     clock: Callable[[], float]
+    instances: Callable[[], int] = int
     rng: random.Random = field(default_factory=random.Random)
     budgets_by_service: dict[str, RetryBudget] = field(default_factory=dict)
     ended: bool = False
@@ -459,6 +462,7 @@
                 Ran.may_have_run,
             )
         self._record_limit(target, headers)
+        self._record_notice(target, status, headers)
         if self.dialect.is_not_run_response(status, headers):
             if self.dialect.is_misdirected(status):
                 self.fleet.mark_missing(
@@ -496,6 +500,39 @@
                 service=target.service,
             )
 
+    def _record_notice(
+        self, target: TargetRecord, status: int, headers: HeaderPairs
+    ) -> None:
+        """Apply what a target says of itself."""
+        notice = self.dialect.read_notice(status, headers)
+        if notice.is_leaving and self.fleet.registry.mark_leaving(
+            target.target_id
+        ):
+            log_decision(
+                'target_leaving',
+                target.target_id,
+                'an answer says that the target is about to end',
+                service=target.service,
+            )
+        if notice.retry_after:
+            log_decision(
+                'target_pause',
+                target.target_id,
+                'the target wants no requests for this time',
+                seconds=notice.retry_after,
+                service=target.service,
+            )
+        now = self.clock()
+        pauses = self.target_selector.pauses
+        pauses.record_answer(target.target_id, notice.brittle_rate, now)
+        is_rejected = self.dialect.is_not_run_response(status, headers) and (
+            not self.dialect.is_misdirected(status)
+        )
+        if is_rejected or notice.retry_after:
+            pauses.record_rejection(
+                target.target_id, notice.retry_after, self.instances(), now
+            )
+
     def _may_retry_elsewhere(
         self, request: RoutedRequest, target: TargetRecord
     ) -> bool:
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -80,15 +80,11 @@
         if target is not None:
             return target
         metadata = request.metadata
-        if not metadata.model and not limited:
-            raise ServingError(
-                ErrorKind.no_target,
-                'no target of the service is ready',
-                retry_after=1,
-            )
         gives_up_at = request.deadline
         if not request.exchange.started:
             gives_up_at = min(request.first_event_deadline, request.deadline)
+        if not metadata.model and not limited:
+            self._check_pauses(request, gives_up_at - now, now)
         if limited:
             self._check_queue(request, limited, gives_up_at - now, now)
         waiter = Waiter(
@@ -242,6 +238,7 @@
             record
             for record in self._allowed_targets(request, now)
             if self._has_turn(record.target_id, now, is_waiting=is_waiting)
+            and self._has_room(record, now)
         ]
         allowed = self._apart_from_suspects(request, allowed, now)
         untried = [
@@ -256,6 +253,41 @@
             self.target_selector.limits.take(target.target_id, now)
         return target
 
+    def _has_room(self, record: TargetRecord, now: float) -> bool:
+        selector = self.target_selector
+        running = selector.running(record.target_id)
+        return selector.pauses.may_send(record, running, now)
+
+    def _check_pauses(
+        self, request: RoutedRequest, seconds_left: float, now: float
+    ) -> None:
+        """Reject a request for which no target will be usable in time."""
+        paused = self._seconds_paused(request, now)
+        if not paused:
+            raise ServingError(
+                ErrorKind.no_target,
+                'no target of the service is ready',
+                retry_after=1,
+            )
+        if paused > seconds_left:
+            raise ServingError(
+                ErrorKind.queue_full,
+                'the targets want no requests for now',
+                retry_after=paused * self.rng.uniform(1, 1.3),
+            )
+
+    def _seconds_paused(self, request: RoutedRequest, now: float) -> float:
+        """Return when the first target that wants no requests takes one.
+
+        :returns: 0 if there is no such target.
+        """
+        pauses = self.target_selector.pauses
+        left = [
+            pauses.seconds_left(record.target_id, now)
+            for record in self._allowed_targets(request, now)
+        ]
+        return min(filter(None, left), default=0)
+
     def _has_turn(
         self, target_id: str, now: float, *, is_waiting: bool
     ) -> bool:
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -36,6 +36,20 @@
       | inf    | None |
       | nan    | None |
 
+  Scenario Outline: An answer <status> with <header>
+    Then a <status> answer with the header "<header>" says that its target <meaning>
+
+    Examples:
+      | status | header                | meaning                |
+      | 200    | Server-Leaving: 1     | is leaving             |
+      | 503    | Server-Leaving: 1     | is leaving             |
+      | 200    | Server-Leaving: 0     | is well                |
+      | 503    | Retry-After: 1.5      | wants a pause of 1.5 s |
+      | 200    | Retry-After: 1.5      | is well                |
+      | 503    | Retry-After: soon     | is well                |
+      | 200    | Server-Brittle: 3     | is brittle at 3        |
+      | 503    | Server-Brittle: 3     | is brittle at 3        |
+
   Scenario: A header named in the Connection header is not forwarded
     When a request that names X-One-Hop in its Connection header is forwarded
     Then the target does not receive the header "x-one-hop"
--- a/tests/state/target_registry.feature
+++ b/tests/state/target_registry.feature
@@ -48,6 +48,17 @@
       | drains     |
       | is removed |
 
+  Scenario Outline: A target that says that it leaves gets no requests: <then>
+    Given targets a and b as of revision 145 of era 1
+    When target a says in an answer that it is about to end
+    And <event>
+    Then the targets that get requests are <targets>
+
+    Examples:
+      | then                      | event                                                                 | targets |
+      | its entry has not changed | targets a and b are listed as of revision 150 of era 1                | b       |
+      | another process starts    | a new process of a and target b are listed as of revision 150 of era 1 | a and b |
+
   Scenario Outline: A target that had left is offered again: <why>
     Given targets a and b as of revision 145 of era 1
     When target a drains as of revision 146 of era 1
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -16,12 +16,13 @@
 from cowsliprack.exceptions import ConfigurationError
 from cowsliprack.platform.headers import (
     forwarded_headers,
+    read_notice,
     read_request,
     stated_limit,
 )
 from cowsliprack.platform.settings import parse_platform_settings
 from cowsliprack.platform.wire import decode_configuration, decode_target
-from cowsliprack.protocol.dialect import ForwardingMetadata
+from cowsliprack.protocol.dialect import ForwardingMetadata, TargetNotice
 from cowsliprack.protocol.gateway_messages import LeaderView, MemberReport
 from cowsliprack.protocol.peer import decode_message, encode_message
 from cowsliprack.state.target_registry import TargetRegistry
@@ -155,6 +156,21 @@
     assert stated_limit([]) is None
 
 
+@then(
+    'a {status:d} answer with the header "{name}: {text}" says that its target '
+    '{meaning}'
+)
+def then_notice(context, status, name, text, meaning):
+    notices = {
+        'is leaving': TargetNotice(is_leaving=True),
+        'wants a pause of 1.5 s': TargetNotice(retry_after=1.5),
+        'is brittle at 3': TargetNotice(brittle_rate=3.0),
+        'is well': TargetNotice(),
+    }
+    headers = [(name.encode(), text.encode())]
+    assert read_notice(status, headers) == notices[meaning]
+
+
 @given('the line "{line}" in a settings file')
 def given_line(context, line):
     context.settings = parse_platform_settings(f'{SETTINGS}{line}\n')
--- a/tests/steps/target_finder_steps.py
+++ b/tests/steps/target_finder_steps.py
@@ -91,6 +91,16 @@
     context.finder = _finder(fleet, selector, Freshness(60, now))
 
 
+@given('a target that wants no requests for {seconds:g} seconds')
+def given_paused(context, seconds):
+    now = time.monotonic()
+    fleet = FleetView()
+    fleet.registry.replace([target_record('s1', service='shop')], 1)
+    selector = TargetSelector('z')
+    selector.pauses.record_rejection('s1', seconds, 1, now)
+    context.finder = _finder(fleet, selector, Freshness(60, now))
+
+
 @when('{count:d} requests look for it at the same time')
 def when_looked_for(context, count):
     context.served = []
--- a/tests/steps/target_registry_steps.py
+++ b/tests/steps/target_registry_steps.py
@@ -135,17 +135,24 @@
     context.registry.apply([record], [], join_version(era, revision))
 
 
+@when('target {name} says in an answer that it is about to end')
+def when_says_leaving(context, name):
+    assert context.registry.mark_leaving(name)
+    assert not context.registry.mark_leaving(name)
+
+
 @when('target {name} is removed as of revision {revision:d} of era {era:d}')
 def when_removed(context, name, revision, era):
     context.registry.apply([], [name], join_version(era, revision))
 
 
 @when(
-    'a new process of a and target b are listed as of revision 30 of era 2',
+    'a new process of a and target b are listed as of revision {revision:d} '
+    'of era {era:d}',
 )
-def when_new_process(context):
+def when_new_process(context, revision, era):
     records = [target_record('a', born=2), target_record('b')]
-    context.registry.replace(records, join_version(2, 30))
+    context.registry.replace(records, join_version(era, revision))
 
 
 @when('targets a and b are listed in era 2 and a writes its entry again')
--- a/tests/transport/target_finder.feature
+++ b/tests/transport/target_finder.feature
@@ -26,6 +26,16 @@
       | 10   | 4     | 4      | 0        |
       | 10   | 40    | 20     | 20       |
 
+  Scenario Outline: The only target of a request wants no requests for <seconds> s
+    Given a target that wants no requests for <seconds> seconds
+    When 2 requests look for it at the same time
+    Then <served> get it and <rejected> are rejected at once
+
+    Examples:
+      | seconds | served | rejected |
+      | 0.5     | 2      | 0        |
+      | 30      | 0      | 2        |
+
   Scenario Outline: The only engine of a model has a limit of 0.1 a second, <others>
     Given an engine that holds m0 and has named a limit of 0.1 requests a second
     And <others>
