Find the owner of a connection only when a process is cut off

The proxies of the stand-ins looked up the process of every new connection and ended with an error once a scenario had killed a gateway: gateway.feature broke in the first whole run with cut_off.feature. Test support only.

--- a/tests/support/cut_connections.py
+++ b/tests/support/cut_connections.py
@@ -14,52 +14,45 @@
 class Cut:
     """Which process is cut off from the targets, and how it shows.
 
-    :ivar pids: returns the processes that may be cut off.
     :ivar pid: of the process; 0 for none.
     :ivar mode: ``hang`` (nothing gets through any more), ``reset``, or ``live
         on`` (only new connections are reset).
     """
 
-    def __init__(self, pids):
-        self.pids = pids
+    def __init__(self):
         self.pid = 0
         self.mode = ''
-        self._streams = {}
+        self._open = set()
+        self._cut = set()
 
     def begin(self, pid, mode):
         """Cut a process off."""
         self.pid, self.mode = pid, mode
+        self._cut = set(filter(self._is_of_process, self._open))
         if mode == 'reset':
-            for stream in [
-                stream
-                for stream, owner in self._streams.items()
-                if owner == pid
-            ]:
+            for stream in self._cut:
                 reset(stream)
 
-    def heal(self):
-        """Let all processes connect again."""
-        self.pid = 0
-
     def refuses(self, stream):
         """Return whether to reset a new connection."""
-        owner = self._owner(stream)
-        self._streams[stream] = owner
-        return owner == self.pid and self.mode != 'hang'
+        self._open.add(stream)
+        if not self.pid or not self._is_of_process(stream):
+            return False
+        self._cut.add(stream)
+        return self.mode != 'hang'
 
     def hangs(self, stream):
         """Return whether bytes of a connection are dropped."""
-        is_cut = bool(self.pid) and self._streams.get(stream) == self.pid
-        return is_cut and self.mode == 'hang'
+        return self.mode == 'hang' and stream in self._cut
 
     def forget(self, stream):
         """Forget a closed connection."""
-        self._streams.pop(stream, None)
+        self._open.discard(stream)
+        self._cut.discard(stream)
 
-    def _owner(self, stream):
-        """Return the process that opened a connection."""
+    def _is_of_process(self, stream):
         port = stream.extra(SocketAttribute.remote_port)  # noqa: S610
-        return owner_of(port, self.pids())
+        return owns(self.pid, port)
 
 
 def reset(stream):
@@ -69,14 +62,9 @@
     raw.shutdown(socket.SHUT_RD)
 
 
-def owner_of(port, pids):
-    """Return which of some processes has a local TCP port open; 0 for none."""
-    inode = _inode(port)
-    for pid in pids:
-        for link in _links(pid):
-            if link == f'socket:[{inode}]':
-                return pid
-    return 0
+def owns(pid, port):
+    """Return whether a process has a local TCP port open."""
+    return f'socket:[{_inode(port)}]' in _links(pid)
 
 
 def _inode(port):
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -126,9 +126,7 @@
         self.engines = {}
         self.processes = {}
         self.ports = {}
-        self.cut = Cut(
-            lambda: [process.pid for process in self.processes.values()]
-        )
+        self.cut = Cut()
         self._folder = tempfile.TemporaryDirectory()
         self._started = threading.Event()
         self._loop = None
