Read the other entries of a list that holds an odd one

Another operator's report, shown here: an entry nested 100000 deep, or in a watch one with a number of 5000 digits or beyond a double, ended the task that reads the store, and with it the process (RecursionError, ValidationError). Cause: the decoder recurses even over what it skips, and only lists, not watches, left out malformed objects.

--- a/cowsliprack/platform/store.py
+++ b/cowsliprack/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's object store: lists, watches, conditional writes."""
 
 import random
+import re
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -45,6 +46,12 @@
 # from an older copy.
 _ERA_HEADER = 'store-era'
 
+# Entries of targets are nested about five deep.
+_MAX_DEPTH = 64
+_JSON_TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]')
+_OPENING = frozenset('[{')
+_CLOSING = frozenset(']}')
+
 _Wire = TypeVar('_Wire')
 
 _log = structlog.get_logger('cowsliprack.store')
@@ -146,7 +153,7 @@
             page = _decode(response, _Page)
             if after:
                 self._require_era_of(revision)
-            objects = _decode_objects(page.items)
+            objects = _decode_objects(page.items, _Object)
             specs_by_name.update(
                 (entry.metadata.name, entry.spec) for entry in objects
             )
@@ -191,8 +198,7 @@
             # with an empty result.
             return ReadResult({}, since, asked_at)
         specs_by_name = {}
-        for raw in batch.events:
-            event = msgspec.json.decode(raw, type=_Event)
+        for event in _decode_objects(batch.events, _Event):
             specs_by_name[event.object.metadata.name] = (
                 None if event.removed else event.object.spec
             )
@@ -368,16 +374,47 @@
     # the other objects unreadable.
     text = response.content.decode(errors='replace')
     try:
-        return msgspec.json.decode(text, type=wire)
+        return _decode_text(text, wire)
     except msgspec.DecodeError as error:
         raise StoreUnavailableError(f'malformed response: {error}') from error
 
 
-def _decode_objects(items: list[msgspec.Raw]) -> list[_Object]:
-    objects = []
+def _decode_text(text: str, wire: type[_Wire]) -> _Wire:
+    try:
+        return msgspec.json.decode(text, type=wire)
+    except RecursionError:
+        _log.warning('store_response_too_deep', bytes=len(text))
+    return msgspec.json.decode(_without_deep_values(text), type=wire)
+
+
+def _without_deep_values(text: str) -> str:
+    """Return JSON in which values that are nested too deeply are null.
+
+    They end every recursive decoder, also one that skips them.
+    """
+    kept = []
+    depth = 0
+    kept_until = 0
+    for token in _JSON_TOKEN.finditer(text):
+        if token[0] in _OPENING:
+            depth += 1
+            if depth == _MAX_DEPTH:
+                kept.append(text[kept_until : token.start()])
+        elif token[0] in _CLOSING:
+            if depth == _MAX_DEPTH:
+                kept.append('null')
+                kept_until = token.end()
+            depth -= 1
+    kept.append(text[kept_until:])
+    return ''.join(kept)
+
+
+def _decode_objects(items: list[msgspec.Raw], wire: type[_Wire]) -> list[_Wire]:
+    """Decode objects or events; malformed ones are left out."""
+    decoded = []
     for raw in items:
         try:
-            objects.append(msgspec.json.decode(raw, type=_Object))
+            decoded.append(msgspec.json.decode(raw, type=wire))
         except msgspec.DecodeError as error:
             _log.warning('store_object_malformed', error=str(error))
-    return objects
+    return decoded
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -15,6 +15,17 @@
     When one target changes and one is removed after the targets are listed
     Then the watch reports one changed and one removed target
 
+  Scenario Outline: An odd entry does not hide the others: <entry>
+    When a target <entry> is listed, and changes while it is watched
+    Then 7 targets are listed and 1 change is seen
+
+    Examples:
+      | entry                         |
+      | nested 100000 deep            |
+      | with a number of 400 digits   |
+      | with a number of 5000 digits  |
+      | with a number beyond a double |
+
   Scenario: A watch without changes returns after its wait time
     When the targets are listed and watched for 0.2 seconds
     Then the watch reports no change
--- a/tests/steps/platform_store_steps.py
+++ b/tests/steps/platform_store_steps.py
@@ -129,6 +129,54 @@
     assert context.result.specs_by_name == {}, context.result
 
 
+_ODD_VALUES = {
+    'nested 100000 deep': b'[' * 100_000 + b']' * 100_000,
+    'with a number of 400 digits': b'9' * 400,
+    'with a number of 5000 digits': b'9' * 5000,
+    'with a number beyond a double': b'1e999',
+}
+
+
+@when('a target {entry} is listed, and changes while it is watched')
+def when_odd(context, entry):
+    platform = context.platform
+    platform.put(_KIND, 'odd', {'service': 'odd value'})
+
+    async def handle(request):
+        send = request.send
+
+        async def send_odd(message):
+            body = message.get('body', b'')
+            if b'"odd value"' in body:
+                body = body.replace(b'"odd value"', _ODD_VALUES[entry])
+                message = {**message, 'body': body}
+            await send(message)
+
+        request.send = send_odd
+        await platform.handle(request)
+
+    async def use(store):
+        listed = await store.list_kind(_KIND)
+        platform.put(_KIND, 'odd', {'service': 'odd value', 'seq': 2})
+        platform.put(_KIND, 't1', {'service': 'other'})
+        changes = {}
+        since = listed.revision
+        while 't1' not in changes:
+            changed = await store.watch_kind(_KIND, since, 2)
+            since = changed.revision
+            changes.update(changed.specs_by_name)
+        return listed.specs_by_name, changes
+
+    context.handle = handle
+    context.listed, context.changes = _run_with_store(context, use)
+
+
+@then('{count:d} targets are listed and 1 change is seen')
+def then_odd(context, count):
+    assert len(context.listed.keys() - {'odd'}) == count, context.listed
+    assert context.changes['t1'] == {'service': 'other'}
+
+
 @then('the watch ends with {outcome}')
 def then_watch_ends(context, outcome):
     assert type(context.result).__name__ == outcome, context.result
