--- a/cowsliprack/platform/wire.py
+++ b/cowsliprack/platform/wire.py
@@ -4,8 +4,9 @@
 writers, so each is validated separately and malformed ones are ignored.
 """
 
+import ipaddress
 from collections.abc import Iterable, Mapping
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -70,6 +71,12 @@
     models: list[_Model] = []
 
 
+_MAX_PORT = 65_535
+_MAX_PORT_DIGITS = 5
+# Larger integers do not fit into the messages between instances.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
 class _Service(msgspec.Struct):
     name: str
     max_conns: int = 64
@@ -121,13 +128,13 @@
     addr: str
     zone: str
     state: str
-    slots: int = 1
+    slots: _Count = 1
     # Version of the software, unlike the 'version' of a model's weights.
     version: str = ''
     # Start of the process, milliseconds since the epoch.
-    born: int = 0
+    born: _Count = 0
     # Number of orders that the engine has accepted since its start.
-    seq: int = 0
+    seq: _Count = 0
     models: list[HeldModel] = []
     at_hand: _AtHand = msgspec.field(default_factory=_AtHand)
     busy: bool = False
@@ -246,7 +253,12 @@
 
 def _is_address(address: str) -> bool:
     host, _, port = address.rpartition(':')
-    return bool(host) and port.isdigit()
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    is_number = port.isdecimal() and len(port) <= _MAX_PORT_DIGITS
+    return is_number and 0 < int(port) <= _MAX_PORT
 
 
 def _to_organisation(tenant: _Tenant) -> OrganisationLimits:
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -36,6 +36,23 @@
       | inf    | None |
       | nan    | None |
 
+  Scenario Outline: An entry of a target whose <field> is <text> names no target
+    Then an entry whose <field> is <text> names no target
+
+    Examples:
+      | field | text                   |
+      | addr  | "10.0.0.1:65536"       |
+      | addr  | "10.0.0.1:0"           |
+      | addr  | "10.0.0.1:-1"          |
+      | addr  | "10.0.0.1:99999999999" |
+      | addr  | "nowhere:80"           |
+      | addr  | "[::1"                 |
+      | slots | 99999999999999999999   |
+      | slots | -1                     |
+      | slots | 1e308                  |
+      | seq   | 99999999999999999999   |
+      | born  | 99999999999999999999   |
+
   Scenario Outline: An answer <status> with <header>
     Then a <status> answer with the header "<header>" says that its target <meaning>
 
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -156,6 +156,21 @@
     assert stated_limit([]) is None
 
 
+@then('an entry whose {field:w} is {text} names no target')
+def then_no_target(context, field, text):
+    entry = {
+        'service': 'llm',
+        'addr': '10.0.0.1:8000',
+        'zone': 'z',
+        'state': 'ready',
+        'slots': 4,
+        'seq': 1,
+        'born': 1,
+    }
+    assert decode_target('i', entry) is not None
+    assert decode_target('i', {**entry, field: json.loads(text)}) is None
+
+
 @then(
     'a {status:d} answer with the header "{name}: {text}" says that its target '
     '{meaning}'
