Go on with a stream only as content of the same type

The content type of the answers that go on is compared now; before, the row '200 and a text' failed. Ruled out by the other new rows: errors with a text (500, 503, 404, 400 not run), a head that is no HTTP, and a refusal that its target writes once more on the connection while it runs the request: the connection of a refusal is closed before the request is sent again.

--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -571,6 +571,13 @@
         splitter = request.splitter
         splitter.buffer.clear()
         returned = self.dialect.returned_headers(response.headers.raw)
+        content_type = response.headers.get('content-type', '')
+        if exchange.started and content_type != request.content_type:
+            raise TargetError(
+                f'the stream goes on as {content_type or "unknown content"}',
+                Ran.may_have_run,
+            )
+        request.content_type = content_type
         has_events = False
         async for complete_events in _whole_events(response, splitter):
             has_events = True
--- a/cowsliprack/transport/routed_request.py
+++ b/cowsliprack/transport/routed_request.py
@@ -37,6 +37,7 @@
         target would end.
     :param begun_version: software version that began the stream of which the
         caller has events; empty if any target may run the request.
+    :param content_type: of the stream of which the caller has events.
     :param trace: trace of a send whose result is still unknown.
     :param digest: identifies the request and its repetitions.
     :param part_digests: identify the parts of its prompt that other requests
@@ -67,6 +68,7 @@
     may_have_run: bool = False
     in_flight_id: int = 0
     begun_version: str = ''
+    content_type: str = ''
     trace: SendTrace | None = None
     is_passed: bool = False
     may_pass_on: bool = True
--- a/tests/steps/route_streams_steps.py
+++ b/tests/steps/route_streams_steps.py
@@ -67,8 +67,13 @@
                 connection, _ = self.listener.accept()
             except OSError:
                 return
-            with connection:
-                self._answer(connection)
+            threading.Thread(
+                target=self._answer_and_close, args=(connection,), daemon=True
+            ).start()
+
+    def _answer_and_close(self, connection):
+        with connection:
+            self._answer(connection)
 
     def _answer(self, connection):
         head = connection.recv(65536)
@@ -104,6 +109,99 @@
     context.add_cleanup(context.engine.listener.close)
 
 
+_LATER_TEXT = b'data: this text is no part of the stream\n\n'
+_LATER_HEADS = {
+    '500 and a text': b'HTTP/1.1 500 X',
+    '503 and a text': b'HTTP/1.1 503 X',
+    '404 and a text': b'HTTP/1.1 404 X',
+    '400 and not run': b'HTTP/1.1 400 X\r\nx-not-run: 1',
+    '200 and a text': b'HTTP/1.1 200 OK',
+    'a head that is no HTTP': b'data: HTTP/1.1 200 OK',
+}
+
+
+class _ErringEngine(_Engine):
+    """Engine that breaks its first response and answers later with an error."""
+
+    def _answer(self, connection):
+        head = connection.recv(65536)
+        self.heads.append(head)
+        if len(self.heads) == 1:
+            connection.sendall(_HEAD + _FIRST + _SECOND[:9])
+            return
+        length = len(_LATER_TEXT)
+        connection.sendall(
+            _LATER_HEADS[self.end]
+            + b'\r\nx-attempt-id: id\r\ncontent-length: %d\r\n\r\n' % length
+            + _LATER_TEXT
+        )
+
+
+@given(
+    'an engine whose stream breaks off, and which then answers with {answer}'
+)
+def given_erring(context, answer):
+    context.engine = _ErringEngine(answer, b'', b'')
+    context.add_cleanup(context.engine.listener.close)
+
+
+@then('the caller has got nothing of the later answer')
+def then_no_text(context):
+    written = b''.join(message.get('body', b'') for message in context.messages)
+    assert b'this text' not in written, written
+
+
+class _RepeatingTarget(_Engine):
+    """Target that writes a refusal twice on its connection.
+
+    :ivar runs: requests that it has run.
+    """
+
+    runs = 0
+
+    def _answer(self, connection):
+        refusal = (
+            b'HTTP/1.1 503 X\r\nx-attempt-id: id\r\nx-not-run: 1\r\n'
+            b'content-length: 0\r\n\r\n'
+        )
+        head = connection.recv(65536)
+        if not self.heads:
+            self.heads.append(head)
+            connection.sendall(refusal)
+            while connection.recv(65536):
+                self.runs += 1
+                connection.sendall(refusal)
+            return
+        self.heads.append(head)
+        self.runs += 1
+        connection.sendall(
+            b'HTTP/1.1 200 OK\r\nx-attempt-id: id\r\ncontent-length: 2\r\n'
+            b'connection: close\r\n\r\nok'
+        )
+
+
+@given('a target that refuses a request, then runs it and writes {kept} again')
+def given_repeating(context, kept):
+    assert kept == 'the refusal'
+    context.engine = _RepeatingTarget('', b'', b'')
+    context.add_cleanup(context.engine.listener.close)
+
+
+@then('the target has run the request {count:d} times')
+def then_runs(context, count):
+    assert context.engine.runs == count, context.engine.runs
+
+
+@then('the caller gets {status:d}')
+def then_caller_status(context, status):
+    started = [
+        message['status']
+        for message in context.messages
+        if message['type'] == 'http.response.start'
+    ]
+    assert started == [status], (started, context.error)
+
+
 @when('a caller asks for a stream at {path}')
 @when('a caller asks for an answer at {path}')
 def when_asked(context, path):
--- a/tests/transport/route_streams.feature
+++ b/tests/transport/route_streams.feature
@@ -19,6 +19,31 @@
       | with a reset             | /chat/   | complete | 1 2    | 2     |
       | after its last event     | /report/ | complete | 1 2    | 1     |
 
+  Scenario Outline: A begun stream is answered with <answer> where it goes on
+    Given an engine whose stream breaks off, and which then answers with <answer>
+    When a caller asks for a stream at /chat/
+    Then its response is broken with the events 1
+    And the caller has got nothing of the later answer
+
+    Examples:
+      | answer                 |
+      | 500 and a text         |
+      | 503 and a text         |
+      | 404 and a text         |
+      | 400 and not run        |
+      | 200 and a text         |
+      | a head that is no HTTP |
+
+  Scenario Outline: A refusal is written once more on its connection: <kept>
+    Given a target that refuses a request, then runs it and writes <kept> again
+    When a caller asks for an answer at /order/
+    Then the target has run the request <runs> times
+    And the caller gets <outcome>
+
+    Examples:
+      | kept        | runs | outcome |
+      | the refusal | 1    | 200     |
+
   Scenario Outline: An answer without a length ends <end>, on <path>
     Given an engine whose answer without a length ends <end>
     When a caller asks for an answer at <path>
