Tell the next leader how many loads the weight store serves at once

Callers saw models never served (SHORT). Views now name the limit that the leader has measured, and a leader begins with it. The scenario fails without it (the limit is 4 again).

--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -131,12 +131,13 @@
 
     :param engines_by_id: state of each engine of the service.
     :param rates: requests per second by model.
+    :param cold_loads: limit of concurrent loads from the weight store.
     """
 
     spec: EngineSpec
     rates: DemandRates = field(default_factory=DemandRates)
     engines_by_id: dict[str, EngineState] = field(default_factory=dict)
-    _cold: ColdLoadLimit = field(default_factory=ColdLoadLimit)
+    cold_loads: ColdLoadLimit = field(default_factory=ColdLoadLimit)
     _lost_loads: LostColdLoads = field(default_factory=LostColdLoads)
     _engine_ids: frozenset[str] = frozenset()
     _engines_stable_since: float = 0
@@ -241,7 +242,7 @@
             for other in self.engines_by_id.values()
             if other is not engine
         )
-        self._cold.record_end(
+        self.cold_loads.record_end(
             engine.cold_loads_at_start,
             others + 1,
             seconds / model.cold_seconds,
@@ -250,7 +251,9 @@
     def _update_index(self, groups: list[GroupDemand], now: float) -> None:
         """Index the engines once, rather than once for each model."""
         self._index = index_engines(self.engines_by_id.values())
-        self._lost_loads.update(self.engines_by_id, self._cold.store_limit, now)
+        self._lost_loads.update(
+            self.engines_by_id, self.cold_loads.store_limit, now
+        )
         self._waiting_models = {group.model for group in groups}
         self._waiting_share_by_id = self._index.waiting_shares(
             self._waiting_models
@@ -398,7 +401,7 @@
         if kind is OrderKind.load:
             engine.assigned_model = ''
             if engine.is_cold(model):
-                self._cold.starts.append(now)
+                self.cold_loads.starts.append(now)
                 engine.cold_loads_at_start = self._lost_loads.count(
                     self.engines_by_id.values()
                 )
@@ -543,15 +546,15 @@
         return (
             count_cold_loads(engines)
             < self._max_cold_loads(candidate.benefit, now)
-            and self._lost_loads.count(engines) < self._cold.store_limit
-            and self._cold.may_start(self.spec.loads_per_second, now)
+            and self._lost_loads.count(engines) < self.cold_loads.store_limit
+            and self.cold_loads.may_start(self.spec.loads_per_second, now)
         )
 
     def _max_cold_loads(self, benefit: float, now: float) -> int:
         most = max_cold_loads(
             len(self._index.usable), benefit, self.rates.is_idle(now)
         )
-        return min(most, self._cold.store_limit)
+        return min(most, self.cold_loads.store_limit)
 
     def _drain_surplus(self) -> None:
         """Stop offering one replica of each model with surplus replicas."""
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -2,6 +2,7 @@
 
 import zlib
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -87,6 +88,8 @@
 
     :param fencing: fencing token of the lease.
     :param rotations_by_service: decisions for each service with engines.
+    :param first_store_limits: by service, concurrent loads that the weight
+        store serves at full speed, as far as earlier leaders knew.
     :param sequence: incremented with each change of an engine view.
     """
 
@@ -97,6 +100,7 @@
         default_factory=dict
     )
     members_by_id: dict[str, Member] = field(default_factory=dict)
+    first_store_limits: Mapping[str, int] = field(default_factory=dict)
     sequence: int = 1
     _views_by_id: dict[str, EngineView] = field(default_factory=dict)
     _changed_by_id: dict[str, int] = field(default_factory=dict)
@@ -116,6 +120,9 @@
             scheduler = self.schedulers_by_service.get(service.name)
             if scheduler is None:
                 scheduler = ModelScheduler(service.engine)
+                scheduler.cold_loads.store_limit = self.first_store_limits.get(
+                    service.name, scheduler.cold_loads.store_limit
+                )
                 self.schedulers_by_service[service.name] = scheduler
             scheduler.spec = service.engine
         for name in set(self.schedulers_by_service) - set(
@@ -123,6 +130,13 @@
         ):
             self.schedulers_by_service.pop(name)
 
+    def store_limits(self) -> dict[str, int]:
+        """Return what is known of the weight store, for the next leader."""
+        return {
+            service: scheduler.cold_loads.store_limit
+            for service, scheduler in self.schedulers_by_service.items()
+        }
+
     def apply_registry(self, registry: TargetRegistry) -> list[EngineState]:
         """Apply the target registry; return the engines to survey.
 
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -204,6 +204,8 @@
     :param peers_digest: digest of that list; 0 from earlier builds.
     :param version_ages: by service and software version, the seconds since a
         target has run it; sent with ``peers``.
+    :param store_limits: by service, concurrent loads that the weight store
+        serves at full speed, as far as the leader knows.
     """
 
     fencing: int
@@ -228,6 +230,7 @@
     peers: tuple[PeerView, ...] = ()
     peers_digest: int = 0
     version_ages: dict[str, dict[str, float]] = {}
+    store_limits: dict[str, int] = {}
 
 
 class CreditAsk(PeerMessage, frozen=True):
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -87,6 +87,7 @@
     _view_fencing: int = 0
     _view_sequence: int = 0
     _relayed: RelayedReading = field(init=False)
+    _store_limits: dict[str, int] = field(default_factory=dict)
     _address_by_peer: dict[str, str] = field(default_factory=dict)
     _reconnected_at: float = 0
     _notices: RegionNotices = field(init=False)
@@ -291,6 +292,7 @@
                     self._deliver,
                     self.origins.version_ages,
                     self.reach_watch,
+                    self._store_limits,
                 )
                 self.term = term
                 await term.run()
@@ -379,6 +381,7 @@
             view.limits, view.members, now
         )
         self.origins.apply_peers(view)
+        self._store_limits = view.store_limits or self._store_limits
         self._apply_store_readings(view)
         self.context.fleet.apply_view(
             view.engines,
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -1,7 +1,7 @@
 """One term of a region's leader: planning, views and token credit."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import anyio
@@ -112,6 +112,7 @@
     :param version_ages: returns the seconds since each software version of each
         service was seen.
     :param reach_watch: knows the services of which no target is reached.
+    :param first_store_limits: see ``RegionState``.
     """
 
     def __init__(
@@ -121,6 +122,7 @@
         deliver: Deliver,
         version_ages: Callable[[], dict[str, dict[str, float]]],
         reach_watch: ReachWatch,
+        first_store_limits: Mapping[str, int],
     ) -> None:
         """Create an empty state; no order is sent before ``run``."""
         self._context = context
@@ -138,6 +140,7 @@
             lease.fencing,
             context.instance_id,
             context.address,
+            first_store_limits=first_store_limits,
         )
         self._notices = LeaderNotices(context.instance_id, lease.fencing)
         self._executor = OrderExecutor(
@@ -310,6 +313,7 @@
         view = msgspec.structs.replace(
             view,
             version_ages=self._version_ages() if view.peers else {},
+            store_limits=self.state.store_limits(),
             generation=table.generation,
             proof_offset=proof_offset,
             **registry_changes(context.fleet.registry, report),
--- a/tests/coordination/region_state.feature
+++ b/tests/coordination/region_state.feature
@@ -7,6 +7,11 @@
     When its registry entry arrives, written during that load
     Then the leader still records a and b
 
+  Scenario: A new leader knows how many loads the weight store serves
+    Given a leader that has learned that the weight store serves 2 loads at once
+    When the next leader begins its term with what the last view said
+    Then it starts at most 2 loads from the weight store
+
   Scenario: A restarted engine is surveyed again
     Given an engine that held a and has loaded b
     When its registry entry arrives, written after a restart
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -14,9 +14,11 @@
 from cowsliprack.protocol.gateway_messages import (
     ConfigurationCopy,
     EngineUse,
+    LeaderView,
     MemberReport,
     WaitingGroup,
 )
+from cowsliprack.protocol.peer import decode_message, encode_message
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder
 from cowsliprack.state.routing_table import EngineSpec
@@ -25,7 +27,7 @@
     TargetRegistry,
 )
 from cowsliprack.transport.region_term import RegionTerm
-from tests.support.routed import target_record
+from tests.support.routed import TABLE, target_record
 
 _NOW = 100.0
 
@@ -52,6 +54,40 @@
     return context.state.schedulers_by_service['s'].engines_by_id['e1']
 
 
+@given(
+    'a leader that has learned that the weight store serves {count:d} loads at '
+    'once'
+)
+def given_learned(context, count):
+    context.state = RegionState(7, 'i0', '127.0.0.1:1')
+    context.state.apply_routing_table(TABLE)
+    context.state.schedulers_by_service['llm'].cold_loads.record_end(
+        4, 4, 4 / count
+    )
+
+
+@when('the next leader begins its term with what the last view said')
+def when_next_term(context):
+    view = decode_message(
+        encode_message(
+            LeaderView(
+                7, 1, 'i0', '', store_limits=context.state.store_limits()
+            )
+        )
+    )
+    context.state = RegionState(
+        8, 'i1', '127.0.0.1:2', first_store_limits=view.store_limits
+    )
+    context.state.apply_routing_table(TABLE)
+
+
+@then('it starts at most {count:d} loads from the weight store')
+def then_store_limit(context, count):
+    scheduler = context.state.schedulers_by_service['llm']
+    assert scheduler.missing_weights(_NOW).max_cold_loads <= count
+    assert scheduler.cold_loads.store_limit == count
+
+
 @given('an engine that held a and has loaded b')
 def given_engine(context):
     _state(context)
@@ -201,6 +237,7 @@
         lambda _instance, _address, message: context.sent.append(message),
         dict,
         None,
+        {},
     )
 
 
