Answer passed requests at instances that stop

Found in reading the change: an instance that is told to stop leaves the list of the region's instances at once, and the instance that had passed a stream to it broke the stream off after 0.5 s (a stream with an event a second: response ended early). It is taken as gone only after 2 s without a part now. The stopping instance also waits for passed requests, as for its own; that part is not shown by a test, the scenario passes without it. The stand-in of the engines answers health checks.

--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -48,6 +48,8 @@
 _GRACE_MARGIN_SHARE = 0.15
 # Part of that reserve for the error responses of requests that did not finish.
 _FINAL_RESPONSE_SECONDS = 0.4
+# Time in which the last messages to other instances leave.
+_MESSAGE_SECONDS = 0.05
 # Target changes within this time are handled as one batch.
 _TARGET_BATCH_SECONDS = 0.2
 
@@ -257,6 +259,8 @@
     async def _wait_closed(self, seconds: float) -> None:
         with anyio.move_on_after(seconds):
             await self._listeners_closed.wait()
+            await self.region.passing.wait_idle()
+            await anyio.sleep(_MESSAGE_SECONDS)
 
     def _closing_seconds(self) -> float:
         """Return how long open requests may run once listeners close."""
--- a/cowsliprack/transport/request_passing.py
+++ b/cowsliprack/transport/request_passing.py
@@ -45,9 +45,9 @@
 # Pause and attempts while the queue to the other instance is full.
 _QUEUE_PAUSE_SECONDS = 0.01
 _QUEUE_ATTEMPTS = 200
-# Interval at which the receiver of a request looks whether the other instance
-# still belongs to the region.
-_PEER_CHECK_SECONDS = 0.5
+# Time without a part after which an instance that does not belong to the region
+# any more is taken as gone; one that stops leaves it while it still answers.
+_PEER_CHECK_SECONDS = 2.0
 
 Deliver = Callable[[str, str, AnyPeerMessage], bool]
 ServePassed = Callable[[Exchange, PassedRequest, float], Awaitable[bool]]
@@ -95,6 +95,7 @@
     _asked_again_at_by_id: dict[str, float] = field(default_factory=dict)
     _new_requests: list[PassedRequest] = field(default_factory=list)
     _wake: anyio.Event = field(default_factory=anyio.Event)
+    _ended: anyio.Event = field(default_factory=anyio.Event)
 
     async def run(self) -> None:
         """Serve the requests of other instances until cancelled."""
@@ -106,6 +107,11 @@
                     tasks.start_soon(self._serve, message)
                 self._new_requests.clear()
 
+    async def wait_idle(self) -> None:
+        """Wait until the requests of other instances are answered."""
+        while self._scopes_by_request:
+            await self._ended.wait()
+
     async def pass_on(self, request: RoutedRequest) -> bool:
         """Have another instance serve a request, and relay its answer.
 
@@ -287,6 +293,11 @@
         finally:
             self._answers_by_number.pop(number)
 
+    def _end(self, key: tuple[str, int]) -> None:
+        self._scopes_by_request.pop(key, None)
+        self._ended.set()
+        self._ended = anyio.Event()
+
     async def _serve(self, message: PassedRequest) -> None:
         """Serve a request of another instance."""
         key = (message.instance_id, message.number)
@@ -309,7 +320,7 @@
                 )
                 await sender.finish(may_have_run)
         finally:
-            self._scopes_by_request.pop(key, None)
+            self._end(key)
 
 
 @dataclass(slots=True)
--- a/tests/platform/cut_off.feature
+++ b/tests/platform/cut_off.feature
@@ -18,3 +18,8 @@
       | member | g2      | hang    |
       | member | g2      | reset   |
       | member | g2      | live on |
+
+  Scenario: An instance that stops answers the requests that others have passed on
+    Given the events of streams take 1 second each
+    When g1 is cut off and passes a stream on, and g2 is told to stop
+    Then the stream ends as a whole
--- a/tests/steps/cut_off_steps.py
+++ b/tests/steps/cut_off_steps.py
@@ -1,11 +1,12 @@
 """Steps for instances that are cut off from all targets."""
 
 import itertools
+import signal
 import time
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 
-from behave import then, when
+from behave import given, then, when
 
 from tests.support.gateway_cluster import KEY, request
 
@@ -19,12 +20,12 @@
 _STATUS_OK = 200
 
 
-def _send(port, method, path, model=''):
+def _send(port, method, path, model='', seconds=4):
     """Send a first try; return its start, kind, id and status."""
     request_id = f'cut-{next(_ids)}'
     headers = {
         'X-Attempt-Id': request_id,
-        'X-Deadline-Ms': '4000',
+        'X-Deadline-Ms': f'{seconds * 1000}',
         'X-Key': KEY,
     }
     if model:
@@ -75,6 +76,40 @@
     }
 
 
+@given('the events of streams take {seconds:g} second each')
+def given_slow(context, seconds):
+    for name in ('e1', 'e2'):
+        context.cluster.engines[name].event_seconds = seconds
+
+
+@when('g1 is cut off and passes a stream on, and g2 is told to stop')
+def when_stopped(context):
+    cluster = context.cluster
+    cluster.cut_off('g1', 'reset')
+    port = cluster.ports['g1']['front']
+    end = time.monotonic() + _CUT_SECONDS
+    while '"lost"' not in cluster.log('g1') and time.monotonic() < end:
+        _send(port, 'POST', '/chat/x', 'm0')
+    with ThreadPoolExecutor(1) as pool:
+        stream = pool.submit(_send, port, 'POST', '/report/x', 'm0', 7)
+        time.sleep(0.3)
+        cluster.signal('g2', signal.SIGTERM)
+        context.stream = stream.result()
+
+
+@then('the stream ends as a whole')
+def then_whole(context):
+    assert context.stream[3] == _STATUS_OK, (
+        context.stream,
+        [
+            line
+            for name in ('g1', 'g2')
+            for line in context.cluster.log(name).splitlines()
+            if f'"{context.stream[2]}"' in line
+        ],
+    )
+
+
 @then('from 3 seconds after the cut both gateways serve nine in ten')
 def then_served(context):
     since = context.cut_at + _SETTLED_SECONDS
--- a/tools/standins/route_engine.py
+++ b/tools/standins/route_engine.py
@@ -18,6 +18,7 @@
 from tools.standins.web import Request
 
 _ORDER_PATH = '/-/order'
+_HEALTH_PATH = '/healthz'
 _REPORT_PATH = '/-/report'
 _ACCEPTED = 202
 _ALREADY_APPLIED = 200
@@ -162,6 +163,10 @@
             await self._handle_order(request)
         elif request.path == _REPORT_PATH:
             await request.send_json(self._report())
+        elif request.path == _HEALTH_PATH:
+            await request.send_json(
+                {}, headers={'x-instance-id': self.target_id}
+            )
         else:
             await self._handle_run(request)
 
