Keep passed requests apart from those of an earlier process, and cancel them early

Numbers of passed requests began at 1 in each process, so that an answer to the process before a restart could have reached another caller; they begin at random now. A cancellation that arrived with its request, as after a freeze of the other instance, was ignored, and the request ran for nobody. 2 of the 4 scenarios of request_passing.feature fail before.

--- a/cowsliprack/transport/request_passing.py
+++ b/cowsliprack/transport/request_passing.py
@@ -48,6 +48,7 @@
 # Time without a part after which an instance that does not belong to the region
 # any more is taken as gone; one that stops leaves it while it still answers.
 _PEER_CHECK_SECONDS = 2.0
+_NUMBER_BITS = 48
 
 Deliver = Callable[[str, str, AnyPeerMessage], bool]
 ServePassed = Callable[[Exchange, PassedRequest, float], Awaitable[bool]]
@@ -84,7 +85,10 @@
     clock: Callable[[], float]
     serve: ServePassed = field(init=False)
     rng: random.Random = field(default_factory=random.Random)
-    _last_number: int = 0
+    # Random, so that late answers to an earlier process match no request.
+    _last_number: int = field(
+        default_factory=lambda: random.getrandbits(_NUMBER_BITS)
+    )
     _replies_by_number: dict[int, MemoryObjectSendStream[PassReply]] = field(
         default_factory=dict
     )
@@ -157,6 +161,9 @@
                 if replies is not None:
                     replies.send_nowait(message)
             case PassedRequest():
+                # A cancellation may follow before the task has begun.
+                key = (message.instance_id, message.number)
+                self._scopes_by_request[key] = anyio.CancelScope()
                 self._new_requests.append(message)
                 self._wake.set()
             case PassedPart():
@@ -302,8 +309,7 @@
         """Serve a request of another instance."""
         key = (message.instance_id, message.number)
         sender = _PartSender(self, message)
-        scope = anyio.CancelScope()
-        self._scopes_by_request[key] = scope
+        scope = self._scopes_by_request[key]
         exchange = Exchange(
             method=message.method,
             path=message.path,
--- /dev/null
+++ b/tests/transport/request_passing.feature
@@ -0,0 +1,22 @@
+Feature: Requests that are passed to another instance
+  Guards against a request that runs although its caller has left, for example
+  when the other instance was frozen, and against an answer that reaches another
+  caller after a restart (P8, P9).
+
+  Scenario Outline: A request whose cancellation arrives <when> does not run on
+    Given an instance that serves passed requests in 0.2 seconds
+    When a request and its cancellation arrive <when>
+    Then it has served 0 requests
+
+    Examples:
+      | when               |
+      | at the same time   |
+      | 0.05 seconds apart |
+
+  Scenario: A request that is not cancelled is answered
+    Given an instance that serves passed requests in 0.2 seconds
+    When a request arrives
+    Then it has served 1 requests
+
+  Scenario: A restarted instance does not use the numbers of its last process
+    Then two processes of an instance begin with different numbers
