Ask the only other instance again after an offer without an answer

Instances that did not answer or declined are left out only while there are others. The new scenario of request_passing.feature fails without this.

--- a/cowsliprack/transport/request_passing.py
+++ b/cowsliprack/transport/request_passing.py
@@ -36,7 +36,8 @@
 _OFFER_SECONDS = 0.15
 # Instances that are asked for one request.
 _MAX_OFFERS = 3
-# Time for which an instance that has declined or not answered is not asked.
+# Time for which an instance that has declined or not answered is not asked if
+# there are others.
 _DECLINED_SECONDS = 0.5
 # Reserve of the other instance's answer for its way back.
 _RETURN_SECONDS = 0.03
@@ -189,12 +190,17 @@
         self, number: int, request: RoutedRequest
     ) -> PeerView | None:
         now = self.clock()
-        possible = [
+        others = [
             peer
             for peer in self.peers()
             if peer.instance_id != self.instance_id
-            and self._asked_again_at_by_id.get(peer.instance_id, now) <= now
         ]
+        rested = [
+            peer
+            for peer in others
+            if self._asked_again_at_by_id.get(peer.instance_id, now) <= now
+        ]
+        possible = rested or others
         asked = self.rng.sample(possible, min(len(possible), _MAX_OFFERS))
         for peer in asked:
             if await self._offer(number, request.service, peer):
--- a/tests/steps/request_passing_steps.py
+++ b/tests/steps/request_passing_steps.py
@@ -1,23 +1,33 @@
 """Steps for requests that are passed to another instance."""
 
+import contextlib
 import time
 
 import anyio
 from behave import given, then, when
 
-from cowsliprack.protocol.gateway_messages import PassCancelled, PassedRequest
+from cowsliprack.exceptions import ServingError
+from cowsliprack.protocol.gateway_messages import (
+    PassCancelled,
+    PassedRequest,
+    PassOffer,
+    PassReply,
+    PeerView,
+)
+from cowsliprack.transport.exchange import Exchange
 from cowsliprack.transport.request_passing import RequestPassing
+from tests.support.routed import routed_request
 
 _REQUEST = PassedRequest('i1', '', 5, 'GET', '/x', b'', (), b'', 0.1)
 _PAUSES = {'at the same time': 0.0, '0.05 seconds apart': 0.05}
 
 
-def _passing():
+def _passing(deliver=lambda *_message: True, peers=()):
     return RequestPassing(
         'i2',
         '',
-        lambda *_message: True,
-        tuple,
+        deliver,
+        lambda: peers,
         lambda _service: True,
         time.monotonic,
     )
@@ -66,6 +76,45 @@
     assert len(context.served) == count, context.served
 
 
+@given('an instance that reaches no target, and one other instance')
+def given_cut_off(context):
+    context.offers = []
+    context.passed = []
+
+    def deliver(_instance_id, _address, message):
+        if isinstance(message, PassOffer):
+            context.offers.append(message)
+            if len(context.offers) > 1:
+                reply = PassReply('i1', message.number, True)
+                context.passing.handle(reply)
+        if isinstance(message, PassedRequest):
+            context.passed.append(message)
+        return False
+
+    peers = (PeerView('i1', '', 'z', 'b1'),)
+    context.passing = _passing(deliver, peers)
+
+
+@when('the first of 2 offers gets no answer')
+def when_not_answered(context):
+    async def pass_two():
+        for _ in range(2):
+            exchange = Exchange('GET', '/x', '/x', b'', [], None, None)
+            request = routed_request(
+                '/stock/1', 'shop', time.monotonic(), 5, exchange=exchange
+            )
+            with contextlib.suppress(ServingError):
+                await context.passing.pass_on(request)
+
+    anyio.run(pass_two)
+
+
+@then('the second request is passed on')
+def then_passed(context):
+    assert len(context.offers) == 2, context.offers
+    assert len(context.passed) == 1, context.passed
+
+
 @then('two processes of an instance begin with different numbers')
 def then_numbers(_context):
     assert _passing()._last_number != _passing()._last_number
--- a/tests/transport/request_passing.feature
+++ b/tests/transport/request_passing.feature
@@ -18,5 +18,10 @@
     When a request arrives
     Then it has served 1 requests
 
+  Scenario: The only other instance is asked again after an offer without an answer
+    Given an instance that reaches no target, and one other instance
+    When the first of 2 offers gets no answer
+    Then the second request is passed on
+
   Scenario: A restarted instance does not use the numbers of its last process
     Then two processes of an instance begin with different numbers
