Check targets only while a failure of them is recent

Found in reading the change: a target that had failed once and got no request since counted as failed for good, and the instance went on to check three targets on new connections every 0.4 s. Only a target in its backoff gives rise to checks now; the new row of reachability.feature fails before. Also in reading: a request that may have run and may not be repeated would have been offered in an endless loop, had one come to look for a target again; it can be passed on once at most now (no test: the path is not reached today).

--- a/cowsliprack/coordination/reachability.py
+++ b/cowsliprack/coordination/reachability.py
@@ -95,5 +95,5 @@
     def _is_suspicious(self, record: TargetRecord, now: float) -> bool:
         silence = self.selector.silence(record.target_id, now)
         return silence > _SUSPICIOUS_SILENCE_SECONDS or (
-            self.selector.has_failed(record.target_id)
+            self.selector.has_failed(record.target_id, now)
         )
--- a/cowsliprack/coordination/target_selector.py
+++ b/cowsliprack/coordination/target_selector.py
@@ -300,13 +300,14 @@
         health = self.health_by_id.get(target_id)
         return health is not None and health.answered_at >= since
 
-    def has_failed(self, target_id: str) -> bool:
-        """Return whether the last request to a target failed.
+    def has_failed(self, target_id: str, now: float) -> bool:
+        """Return whether a target is avoided because a request to it failed.
 
         :param target_id: id of the target.
+        :param now: seconds.
         """
         health = self.health_by_id.get(target_id)
-        return health is not None and bool(health.failures)
+        return health is not None and now < health.avoided_until
 
     def is_disconnected(self, target_id: str) -> bool:
         """Return whether connections to a target fail.
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -163,11 +163,10 @@
 
     async def _pass_on(self, request: RoutedRequest) -> bool:
         """Return whether another instance has served the request."""
+        request.may_pass_on = False
         if request.is_in_doubt() and not request.is_repeatable():
             return False
-        is_served = await self.passing.pass_on(request)
-        request.may_pass_on = False
-        return is_served
+        return await self.passing.pass_on(request)
 
     async def _take_up(self, request: RoutedRequest) -> None:
         """Find out where a stream may go on that a caller takes up again."""
--- a/tests/coordination/reachability.feature
+++ b/tests/coordination/reachability.feature
@@ -12,6 +12,7 @@
       | not while requests are answered      | nothing has failed                      | 0     |
       | when one can't be connected          | t1 could not be connected               | 3     |
       | when one breaks off                  | a request to t1 has failed              | 3     |
+      | not for long after a failure         | a request to t1 has failed 10 s ago     | 0     |
       | when one is silent during a request  | t1 has been silent for 0.6 s            | 3     |
       | not for a short silence              | t1 has been silent for 0.4 s            | 0     |
       | while none is reached                | no target answered the last checks      | 3     |
--- a/tests/steps/reachability_steps.py
+++ b/tests/steps/reachability_steps.py
@@ -38,6 +38,11 @@
     context.selector.record_failure('t1', _NOW - 0.1)
 
 
+@given('a request to t1 has failed {seconds:d} s ago')
+def given_old_failure(context, seconds):
+    context.selector.record_failure('t1', _NOW - seconds)
+
+
 @given('t1 has been silent for {seconds:g} s')
 def given_silence(context, seconds):
     context.selector.start('t1', '', '', _NOW - seconds)
