Log which models lose their last copy and what slows a load down

`weights_missing` names the models that lost their last copy, `placement` says `is_cold`, `cold_load_ended` the count at its start and the limit.

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -35,6 +35,7 @@
     :param cold_loads: running or assigned loads from the weight store.
     :param max_cold_loads: current limit for a model with few requests.
     :param engines: number of usable engines.
+    :param names: the models that no engine holds, caches or loads.
     """
 
     models: int = 0
@@ -42,6 +43,7 @@
     cold_loads: int = 0
     max_cold_loads: int = 0
     engines: int = 0
+    names: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True)
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -226,6 +226,7 @@
             self._lost_loads.count(self.engines_by_id.values()),
             self._max_cold_loads(0, now),
             len(self._index.usable),
+            frozenset(missing),
         )
 
     def end_cold_load(
--- a/cowsliprack/transport/order_executor.py
+++ b/cowsliprack/transport/order_executor.py
@@ -133,6 +133,7 @@
         :param order: order to send.
         """
         began_at = self.clock()
+        is_cold = not order.adapter and engine.is_cold(order.model)
         engine.order_attempts = 0
         answer = await self._send_until_answered(engine, order)
         log_decision(
@@ -144,6 +145,7 @@
             orders=engine.order_count,
             running=dict(engine.running),
             tries=engine.order_attempts,
+            is_cold=is_cold and order.kind is OrderKind.load,
             took_ms=round((self.clock() - began_at) * 1000),
         )
         if answer is OrderAnswer.accepted:
@@ -297,6 +299,8 @@
                 took_ms=round(took * 1000),
                 stated_ms=round(seconds * 1000),
                 cold_loads=count_cold_loads(scheduler.engines_by_id.values()),
+                cold_loads_at_start=engine.cold_loads_at_start,
+                limit=scheduler.cold_loads.store_limit,
             )
             scheduler.end_cold_load(engine, model, took)
 
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -270,8 +270,10 @@
         self._missing_logged_at = now
         for service, scheduler in self.state.schedulers_by_service.items():
             missing = scheduler.missing_weights(now)
-            if missing == self._logged_missing_by_service.get(service):
+            logged = self._logged_missing_by_service.get(service)
+            if missing == logged:
                 continue
+            lost = sorted(missing.names - logged.names) if logged else []
             self._logged_missing_by_service[service] = missing
             log_decision(
                 'weights_missing',
@@ -283,6 +285,7 @@
                 cold_loads=missing.cold_loads,
                 max_cold_loads=missing.max_cold_loads,
                 engines=missing.engines,
+                lost=lost[:_MAX_LOGGED_NAMES],
             )
 
     def _send_views(self, *, to_all: bool) -> None:
