Load a model from a disk that comes back while the weight store loads it

Cause: its load from the weight store (11.8 s) on another engine counted as pending, and a pending model gets no other load. Class: a slow way that has been taken blocks a faster one that opens later. A load from the weight store counts as pending only while no other engine has a copy; one that has not begun is given up.

Two scenarios of model_scheduler.feature failed before (no order was given).

--- a/cowsliprack/coordination/engine_index.py
+++ b/cowsliprack/coordination/engine_index.py
@@ -63,15 +63,48 @@
     def is_pending(self, model: str, software_version: str) -> bool:
         """Return whether a model is being loaded or assigned to an engine.
 
+        A load from the weight store takes seconds, so it does not count once
+        another engine has a copy.
+
         :param model: its name.
         :param software_version: of the engine; empty for any.
         """
-        if not software_version:
-            return model in self.pending_models
-        return any(
-            engine.record.software_version == software_version
-            and model in {engine.assigned_model, engine.loading_model()}
+        if model not in self.pending_models:
+            return False
+        loading = [
+            engine
             for engine in self.usable
+            if software_version in {'', engine.record.software_version}
+            and model in {engine.assigned_model, engine.loading_model()}
+        ]
+        if not all(engine.is_cold(model) for engine in loading):
+            return True
+        return not any(
+            software_version in {'', engine.record.software_version}
+            for engine in self.disks_with(model)
+        )
+
+    def disks_with(self, model: str) -> list[EngineState]:
+        """Return the engines that have a copy of a model and don't hold it.
+
+        :param model: its name.
+        """
+        return [
+            engine
+            for engine in self.copies_by_model[model]
+            if model not in engine.adapters_by_model
+        ]
+
+    def is_on_other_disk(self, engine: EngineState, model: str) -> bool:
+        """Return whether only other engines can load a model from a disk.
+
+        :param engine: an engine of the software version that is needed.
+        :param model: its name.
+        """
+        version = engine.record.software_version
+        return engine.is_cold(model) and any(
+            other.record.software_version == version
+            for other in self.disks_with(model)
         )
 
     def only_copy_risk(self, engine: EngineState) -> float:
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -363,7 +363,7 @@
     ) -> Iterable[EngineOrder]:
         """Evict a model for the assigned one, or load the assigned one."""
         model = self.spec.models_by_name.get(engine.assigned_model)
-        if model is None:
+        if model is None or self._index.is_on_other_disk(engine, model.name):
             engine.assigned_model = ''
             return
         victim = self._next_victim(engine, model)
@@ -442,8 +442,8 @@
         # load from the weight store, so if there are any, only these count.
         copies = [
             engine
-            for engine in self._index.copies_by_model[name]
-            if name not in engine.adapters_by_model and candidate.fits(engine)
+            for engine in self._index.disks_with(name)
+            if candidate.fits(engine)
         ]
         if not copies and not self._may_load_cold(candidate, now):
             return []
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -360,6 +360,30 @@
     When the scheduler plans
     Then the orders are "e1 load e"
 
+  Scenario: A load from the weight store does not delay one from a disk
+    Given engine e1 holds a
+    And a is requested often
+    And 1 request waits for f
+    When the scheduler plans
+    Then the orders are "e1 load f"
+    Given engine e2 holds b and has f on disk
+    When the scheduler plans
+    Then the orders are "e2 load f"
+    And nothing more is ordered while that order is running
+
+  Scenario: A load from the weight store is not begun once a disk has the model
+    Given engine e1 holds a, b and has c on disk
+    And a is requested often
+    And e1 runs 1 request for a
+    And e1 runs 1 request for b
+    And 3 requests at different instances wait for f
+    When the scheduler plans
+    Then f is assigned to e1
+    Given engine e2 holds d and has f on disk
+    When the requests for a have ended
+    And the scheduler plans
+    Then the orders are "e2 load f"
+
   Scenario: A load from the weight store does not evict an only copy
     Given engine e1 holds a and has b, c on disk
     And engine e2 holds d and has a, e on disk
