Learn from surveys what lies on the disks of engines

The list of targets that a member knows says nothing of disks, so for a leader that takes over all models without an engine lay nowhere until its first own reading of the store, and a request that waited then got a load from the weight store (7.8 s and more) in place of one from a disk (0.6 s). Surveys carry the copies and are applied now; a later list without them does not remove them.

--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -3,7 +3,7 @@
 import zlib
 from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -412,6 +412,13 @@
     }
     engine.draining_models &= set(engine.adapters_by_model)
     engine.surveyed = True
+    if survey.in_memory or survey.on_disk:
+        # Targets that a leader knows as a member say nothing of their disks.
+        engine.record = replace(
+            engine.record,
+            in_memory=survey.in_memory,
+            on_disk=survey.on_disk,
+        )
 
 
 def _update_engine(
@@ -422,6 +429,12 @@
     if engine is None or engine.record.born != record.born:
         engine = EngineState(record)
         scheduler.engines_by_id[record.target_id] = engine
+    if not (record.in_memory or record.on_disk):
+        record = replace(
+            record,
+            in_memory=engine.record.in_memory,
+            on_disk=engine.record.on_disk,
+        )
     # The models of the entry are not applied to the state: an engine may write
     # it during a load, and the completed orders determine what it holds.
     engine.record = record
--- a/tests/coordination/region_state.feature
+++ b/tests/coordination/region_state.feature
@@ -12,6 +12,12 @@
     When the next leader begins its term with what the last view said
     Then it starts at most 2 loads from the weight store
 
+  Scenario: A new leader learns from surveys what lies on the disks of engines
+    Given a leader that knows an engine from its predecessor, without its disk
+    When it surveys the engine, which has b on disk
+    And the list of targets is applied once more
+    Then b lies on an engine
+
   Scenario: A restarted engine is surveyed again
     Given an engine that held a and has loaded b
     When its registry entry arrives, written after a restart
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -10,7 +10,12 @@
 from cowsliprack.coordination.fleet_view import FleetView
 from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.model_scheduler import ModelScheduler
-from cowsliprack.coordination.region_state import RegionState, finish_order
+from cowsliprack.coordination.region_state import (
+    RegionState,
+    apply_survey,
+    finish_order,
+)
+from cowsliprack.protocol.engine import EngineSurvey
 from cowsliprack.protocol.gateway_messages import (
     ConfigurationCopy,
     EngineUse,
@@ -88,6 +93,31 @@
     assert scheduler.cold_loads.store_limit == count
 
 
+@given('a leader that knows an engine from its predecessor, without its disk')
+def given_relayed(context):
+    _state(context)
+    _register(context, 1)
+
+
+@when('it surveys the engine, which has b on disk')
+def when_surveyed_with_disk(context):
+    apply_survey(
+        _engine(context), EngineSurvey(0, False, 0, on_disk=frozenset('b'))
+    )
+
+
+@when('the list of targets is applied once more')
+def when_applied_again(context):
+    _register(context, 2, address='127.0.0.1:2')
+
+
+@then('b lies on an engine')
+def then_has_copy(context):
+    engine = _engine(context)
+    assert not engine.is_cold('b'), engine.record
+    assert engine.record.address == '127.0.0.1:2'
+
+
 @given('an engine that held a and has loaded b')
 def given_engine(context):
     _state(context)
