Load nothing from the weight store before the engines are surveyed

Loads from the weight store now wait while an engine that accepts orders is not surveyed, one second at the most, so that one without an answer does not hold up others. Two rows of model_scheduler.feature failed before.

--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -61,6 +61,9 @@
 # Seconds for which the set of engines must be unchanged before models without
 # a copy on any engine are preloaded; longer than re-registration takes.
 _STABLE_ENGINES_SECONDS = 1.3
+# Seconds for which loads from the weight store wait for the surveys of engines;
+# a survey takes milliseconds unless the engine does not answer.
+_SURVEY_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +142,7 @@
     engines_by_id: dict[str, EngineState] = field(default_factory=dict)
     cold_loads: ColdLoadLimit = field(default_factory=ColdLoadLimit)
     _lost_loads: LostColdLoads = field(default_factory=LostColdLoads)
+    _surveys_open_since: float = math.inf
     _engine_ids: frozenset[str] = frozenset()
     _engines_stable_since: float = 0
     _missing: MissingModels = field(default_factory=MissingModels)
@@ -259,6 +263,12 @@
         self._waiting_share_by_id = self._index.waiting_shares(
             self._waiting_models
         )
+        is_open = any(
+            engine.awaits_survey() for engine in self.engines_by_id.values()
+        )
+        self._surveys_open_since = (
+            min(self._surveys_open_since, now) if is_open else math.inf
+        )
         engine_ids = frozenset(self._index.load_by_id)
         if engine_ids != self._engine_ids:
             self._engine_ids = engine_ids
@@ -542,6 +552,10 @@
         if not candidate.count and self._missing.waiting:
             # A load for an additional replica would serve no other model.
             return False
+        open_seconds = now - self._surveys_open_since
+        if 0 <= open_seconds < _SURVEY_SECONDS:
+            # An engine that is about to answer may have a copy.
+            return False
         # A lost load slows down the store, but occupies no engine.
         engines = self.engines_by_id.values()
         return (
--- a/cowsliprack/state/engine_state.py
+++ b/cowsliprack/state/engine_state.py
@@ -81,6 +81,10 @@
         is_ready = self.record.state is TargetState.ready
         return self.surveyed and is_ready and not self.silent
 
+    def awaits_survey(self) -> bool:
+        """Return whether it would accept orders, but is not surveyed yet."""
+        return not self.surveyed and self.record.state is TargetState.ready
+
     def offers(self, model: str) -> bool:
         """Return whether the engine may get new requests of a model.
 
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -360,6 +360,23 @@
     When the scheduler plans
     Then the orders are "e1 load e"
 
+  Scenario Outline: A load from the weight store waits for <count> survey of an engine
+    Given engine e1 holds a
+    And engine e2 holds b and has f on disk
+    And e2 has not been surveyed
+    And a is requested often
+    And 1 request waits for f
+    When the scheduler plans
+    Then the orders are ""
+    When e2 <event>
+    And the scheduler plans
+    Then the orders are "<orders>"
+
+    Examples:
+      | count   | event                              | orders    |
+      | the     | has been surveyed                  | e2 load f |
+      | a short | does not answer for 1.2 seconds    | e1 load f |
+
   Scenario: A load from the weight store does not delay one from a disk
     Given engine e1 holds a
     And a is requested often
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -216,6 +216,17 @@
     context.scheduler.engines_by_id[name].surveyed = False
 
 
+@when('{name:w} has been surveyed')
+def when_surveyed(context, name):
+    context.scheduler.engines_by_id[name].surveyed = True
+
+
+@when('{name:w} does not answer for {seconds:g} seconds')
+def when_unanswered(context, name, seconds):
+    assert not context.scheduler.engines_by_id[name].surveyed
+    context.now += seconds
+
+
 @given('{name:w} executes an order')
 def given_busy(context, name):
     context.scheduler.engines_by_id[name].order = EngineOrder(
