Keep the known limit of the weight store while earlier loads may run

A limit that an earlier leader has learned is not lowered by loads that begin while loads of that leader may run. One of two new rows of model_scheduler.feature failed before.

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -4,6 +4,7 @@
 and more than a few at a time slow each other down in the store.
 """
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -16,6 +17,9 @@
 # A load that exceeds its configured time by this factor indicates too many
 # concurrent loads.
 _SLOWDOWN_LIMIT = 1.25
+# Slowdown of the longest load among as many as start before the speed of the
+# store is known, if it serves two at full speed.
+_LONGEST_SLOWDOWN = 2.0
 # A load that serves this many requests in time may exceed the share of engines:
 # a busy model that lost its engines.
 URGENT_REQUESTS = 5
@@ -174,6 +178,14 @@
             one for one in self.lost if one.ends_at(full_speed_loads) > now
         ]
 
+    def started_at(self, target_id: str) -> float:
+        """Return when the load of an engine began; ``inf`` if that is unknown.
+
+        :param target_id: the loading engine.
+        """
+        load = self.started_by_id.get(target_id)
+        return load.started_at if load else math.inf
+
     def count(self, engines: Iterable[EngineState]) -> int:
         """Return how many loads the weight store serves.
 
@@ -194,11 +206,36 @@
         as far as known.
     :param on_time: loads at that limit that ended on time since its last
         change.
+    :param lowered_from: loads that began before this time do not lower the
+        limit, seconds.
     """
 
     starts: list[float] = field(default_factory=list)
     store_limit: int = _INITIAL_COLD_LOADS
     on_time: int = 0
+    lowered_from: float = -math.inf
+    _is_inherited: bool = False
+
+    def inherit(self, store_limit: int) -> None:
+        """Begin with the limit that an earlier leader has learned.
+
+        :param store_limit: see the class.
+        """
+        self.store_limit = store_limit
+        self._is_inherited = True
+
+    def begin_term(self, cold_seconds: float, now: float) -> None:
+        """Trust an inherited limit while loads of the earlier leader may run.
+
+        They slow down the first loads of a term, and some of them are not
+        known: those whose engines have gone.
+
+        :param cold_seconds: time of a load at full speed.
+        :param now: seconds.
+        """
+        if self._is_inherited:
+            self._is_inherited = False
+            self.lowered_from = now + cold_seconds * _LONGEST_SLOWDOWN
 
     def may_start(self, loads_per_second: float, now: float) -> bool:
         """Return whether the rate of loads admits one more.
@@ -212,7 +249,13 @@
         ]
         return len(self.starts) < loads_per_second * _RATE_WINDOW_SECONDS
 
-    def record_end(self, at_start: int, at_end: int, slowdown: float) -> None:
+    def record_end(
+        self,
+        at_start: int,
+        at_end: int,
+        slowdown: float,
+        started_at: float = math.inf,
+    ) -> None:
         """Adjust the limit of the store after a load has ended.
 
         Loads that begin together end one by one, so the number at the end of
@@ -221,8 +264,11 @@
         :param at_start: concurrent loads when it began, including itself.
         :param at_end: concurrent loads when it ended, including itself.
         :param slowdown: duration in multiples of the configured time.
+        :param started_at: when it began, seconds.
         """
         if slowdown > _SLOWDOWN_LIMIT:
+            if started_at < self.lowered_from:
+                return
             most = max(at_start, at_end)
             self.store_limit = max(1, round(most / slowdown))
             self.on_time = 0
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -251,6 +251,7 @@
             engine.cold_loads_at_start,
             others + 1,
             seconds / model.cold_seconds,
+            self._lost_loads.started_at(engine.target_id),
         )
 
     def _update_index(self, groups: list[GroupDemand], now: float) -> None:
@@ -263,6 +264,7 @@
         self._waiting_share_by_id = self._index.waiting_shares(
             self._waiting_models
         )
+        self.cold_loads.begin_term(_longest_cold_seconds(self.spec), now)
         is_open = any(
             engine.awaits_survey() for engine in self.engines_by_id.values()
         )
@@ -606,6 +608,11 @@
         return orders
 
 
+def _longest_cold_seconds(spec: EngineSpec) -> float:
+    models = spec.models_by_name.values()
+    return max((model.cold_seconds for model in models), default=0)
+
+
 def _without_limit(engines: list[EngineState]) -> list[EngineState]:
     return [engine for engine in engines if not engine.is_limited]
 
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -120,9 +120,9 @@
             scheduler = self.schedulers_by_service.get(service.name)
             if scheduler is None:
                 scheduler = ModelScheduler(service.engine)
-                scheduler.cold_loads.store_limit = self.first_store_limits.get(
-                    service.name, scheduler.cold_loads.store_limit
-                )
+                limit = self.first_store_limits.get(service.name)
+                if limit is not None:
+                    scheduler.cold_loads.inherit(limit)
                 self.schedulers_by_service[service.name] = scheduler
             scheduler.spec = service.engine
         for name in set(self.schedulers_by_service) - set(
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -377,6 +377,17 @@
       | the     | has been surveyed                  | e2 load f |
       | a short | does not answer for 1.2 seconds    | e1 load f |
 
+  Scenario Outline: Loads beside those of an earlier leader: <case>
+    Given 56 empty engines
+    And a leader that has learned from an earlier one that 2 loads run at full speed
+    When a load begins <after> seconds after its term and takes 1.5 times as long
+    Then the limit is <limit> loads
+
+    Examples:
+      | case                         | after | limit |
+      | they may slow it down        | 1     | 2     |
+      | the earlier loads have ended | 13    | 1     |
+
   Scenario: A load from the weight store does not delay one from a disk
     Given engine e1 holds a
     And a is requested often
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -227,6 +227,35 @@
     context.now += seconds
 
 
+@given(
+    'a leader that has learned from an earlier one that {count:d} loads run at '
+    'full speed'
+)
+def given_inherited(context, count):
+    context.scheduler.cold_loads.inherit(count)
+    context.scheduler.plan([], context.now)
+
+
+@when(
+    'a load begins {after:g} seconds after its term and takes {factor:g} times '
+    'as long'
+)
+def when_slow_load(context, after, factor):
+    scheduler = context.scheduler
+    context.now += after
+    engine = scheduler.engines_by_id['e1']
+    engine.assigned_model = 'a'
+    scheduler.plan([], context.now)
+    assert engine.loading_model() == 'a', engine.order
+    model = _spec().models_by_name['a']
+    scheduler.end_cold_load(engine, model, factor * model.cold_seconds)
+
+
+@then('the limit is {count:d} loads')
+def then_limit(context, count):
+    assert context.scheduler.cold_loads.store_limit == count
+
+
 @given('{name:w} executes an order')
 def given_busy(context, name):
     context.scheduler.engines_by_id[name].order = EngineOrder(
