Give up a load from the weight store before it is planned, not while it is sent

The check for a copy on another disk stood where each order is made, so that the removal of the older protection (no such load while an engine has a copy) was no longer noticed by its feature. It stands before the assigned loads are continued now; all 19 protections of model_scheduler.feature are noticed. Behaviour and tests are unchanged.

--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -364,8 +364,12 @@
     def _advance_assigned(self, now: float) -> list[EngineOrder]:
         orders = []
         for engine in self._index.usable:
-            if engine.assigned_model and engine.order is None:
-                orders.extend(self._next_step(engine, now))
+            if not engine.assigned_model or engine.order is not None:
+                continue
+            if self._index.is_on_other_disk(engine, engine.assigned_model):
+                engine.assigned_model = ''
+                continue
+            orders.extend(self._next_step(engine, now))
         return orders
 
     def _next_step(
@@ -375,7 +379,7 @@
     ) -> Iterable[EngineOrder]:
         """Evict a model for the assigned one, or load the assigned one."""
         model = self.spec.models_by_name.get(engine.assigned_model)
-        if model is None or self._index.is_on_other_disk(engine, model.name):
+        if model is None:
             engine.assigned_model = ''
             return
         victim = self._next_victim(engine, model)
@@ -452,11 +456,7 @@
             return []
         # Waiting for an engine with a copy of the weights is faster than a
         # load from the weight store, so if there are any, only these count.
-        copies = [
-            engine
-            for engine in self._index.disks_with(name)
-            if candidate.fits(engine)
-        ]
+        copies = list(filter(candidate.fits, self._index.disks_with(name)))
         if not copies and not self._may_load_cold(candidate, now):
             return []
         placements = [
