Reject requests at once whose model lies on no engine and can't be loaded in time

No instance but the leader knew that. The leader now tells which models have had no copy on any registered engine for 5 s and when their loads end; an instance rejects a request whose time ends earlier, with the end of the load (or the time of one) as Retry-After, and goes on to report it until its caller is due back, so that the turn of its model stays. A crashed engine, one that is not surveyed and an order of an earlier leader leave a model possible.

Views carry this only for processes that understand it: the level is part of the process id, which earlier builds relay as it is.

--- /dev/null
+++ b/cowsliprack/coordination/absent_models.py
@@ -0,0 +1,180 @@
+"""Models that lie on no engine, as a leader knows them and as members do.
+
+A load from the weight store takes longer than most callers wait. While an
+instance knows that a model lies on no engine and when its load will end, it can
+reject at once the requests that would wait in vain.
+"""
+
+import math
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from cowsliprack.protocol.gateway_messages import ModelAbsence
+from cowsliprack.state.engine_state import EngineState
+
+# A model counts as absent when no engine has had a copy for this long, in
+# seconds: engines that crash are back with their disks after some seconds, and
+# a leader learns in its first seconds what the engines hold.
+_SETTLED_SECONDS = 5.0
+# Value of ``ModelAbsence.loaded_in`` without a load.
+_NO_LOAD = -1.0
+
+
+@dataclass(slots=True)
+class AbsentModels:
+    """Models of one service without a copy on any registered engine.
+
+    :param loaded_at_by_model: by absent model, the time at which its load from
+        the weight store is expected to end, seconds; ``inf`` without a load.
+    """
+
+    loaded_at_by_model: Mapping[str, float] = field(default_factory=dict)
+    _since_by_model: dict[str, float] = field(default_factory=dict)
+
+    def update(
+        self,
+        models: Iterable[str],
+        engines: Collection[EngineState],
+        loads: Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Find the absent models.
+
+        :param models: all configured models.
+        :param engines: all registered engines. Those that are not surveyed yet
+            or do not answer count, since they may be usable soon.
+        :param loads: by model, when its load is expected to end, seconds.
+        :param now: seconds.
+        """
+        at_hand = _models_at_hand(engines)
+        self._since_by_model = {
+            name: self._since_by_model.get(name, now)
+            for name in models
+            if name not in at_hand
+        }
+        self.loaded_at_by_model = {
+            name: loads.get(name, math.inf)
+            for name, since in self._since_by_model.items()
+            if now - since > _SETTLED_SECONDS
+        }
+        if any(engine.has_unknown_order() for engine in engines):
+            # An earlier leader may have ordered a load of any of them.
+            self.loaded_at_by_model = {}
+
+
+def _models_at_hand(engines: Iterable[EngineState]) -> set[str]:
+    names: set[str] = set()
+    for engine in engines:
+        record = engine.record
+        names.update(
+            engine.adapters_by_model,
+            record.loaded_models_by_name,
+            record.in_memory,
+            record.on_disk,
+        )
+    return names
+
+
+@dataclass(slots=True)
+class AbsenceLedger:
+    """What a leader has told of absent models, and at which sequence.
+
+    :param loaded_at_by_name: by service and model, the time at which its load
+        is expected to end, seconds; ``inf`` without a load.
+    :param changed_by_name: sequence of the view that told the last change.
+    """
+
+    loaded_at_by_name: dict[tuple[str, str], float] = field(
+        default_factory=dict
+    )
+    changed_by_name: dict[tuple[str, str], int] = field(default_factory=dict)
+
+    def update(
+        self,
+        loaded_at_by_name: Mapping[tuple[str, str], float],
+        sequence: int,
+    ) -> bool:
+        """Apply the models that are absent now; return whether any changed.
+
+        :param loaded_at_by_name: see the class.
+        :param sequence: of the next view.
+        """
+        known = self.loaded_at_by_name
+        changed = [
+            name
+            for name in known.keys() | loaded_at_by_name.keys()
+            if known.get(name) != loaded_at_by_name.get(name)
+        ]
+        self.changed_by_name.update(dict.fromkeys(changed, sequence))
+        self.loaded_at_by_name = dict(loaded_at_by_name)
+        return bool(changed)
+
+    def changes_since(self, base: int, now: float) -> tuple[ModelAbsence, ...]:
+        """Return the changes for a member, for a message.
+
+        :param base: sequence of the last view that it has applied.
+        :param now: seconds.
+        """
+        return tuple(
+            self._absence(name, now)
+            for name, changed in self.changed_by_name.items()
+            if changed > base
+        )
+
+    def _absence(self, name: tuple[str, str], now: float) -> ModelAbsence:
+        loaded_at = self.loaded_at_by_name.get(name)
+        if loaded_at is None:
+            return ModelAbsence(*name, is_absent=False)
+        if math.isinf(loaded_at):
+            return ModelAbsence(*name, loaded_in=_NO_LOAD)
+        return ModelAbsence(*name, loaded_in=max(loaded_at - now, 0))
+
+
+@dataclass(slots=True)
+class KnownAbsences:
+    """Absent models that the leader has told to a member.
+
+    :param loaded_at_by_name: see ``AbsenceLedger``.
+    """
+
+    loaded_at_by_name: dict[tuple[str, str], float] = field(
+        default_factory=dict
+    )
+
+    def apply(
+        self,
+        absences: Iterable[ModelAbsence],
+        now: float,
+        *,
+        is_full: bool,
+    ) -> None:
+        """Apply the absences of a view.
+
+        :param absences: new or changed ones, all of them in a full view.
+        :param now: seconds.
+        :param is_full: replaces all earlier ones.
+        """
+        if is_full:
+            self.loaded_at_by_name.clear()
+        for absence in absences:
+            name = (absence.service, absence.model)
+            self.loaded_at_by_name.pop(name, None)
+            if absence.is_absent:
+                is_loading = absence.loaded_in >= 0
+                self.loaded_at_by_name[name] = (
+                    now + absence.loaded_in if is_loading else math.inf
+                )
+
+    def seconds_until_loaded(
+        self, service: str, model: str, now: float
+    ) -> float:
+        """Return when an absent model will be loaded.
+
+        :param service: its service.
+        :param model: its name.
+        :param now: seconds.
+        :returns: 0 for a model that is not absent, or whose load should have
+            ended; ``inf`` if none is under way.
+        """
+        loaded_at = self.loaded_at_by_name.get((service, model), now)
+        return max(loaded_at - now, 0)
--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -186,6 +186,16 @@
         load = self.started_by_id.get(target_id)
         return load.started_at if load else math.inf
 
+    def expected_ends(self, full_speed_loads: int) -> dict[str, float]:
+        """Return when the loads under way are expected to end, by model.
+
+        :param full_speed_loads: see ``ColdLoad``.
+        """
+        return {
+            load.model: load.ends_at(full_speed_loads)
+            for load in self.started_by_id.values()
+        }
+
     def count(self, engines: Iterable[EngineState]) -> int:
         """Return how many loads the weight store serves.
 
--- a/cowsliprack/coordination/fleet_view.py
+++ b/cowsliprack/coordination/fleet_view.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 
+from cowsliprack.coordination.absent_models import KnownAbsences
 from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.protocol.gateway_messages import EngineView
 from cowsliprack.state.target_registry import TargetRecord, TargetRegistry
@@ -24,11 +25,13 @@
     """Registered targets and the leader's view of the engines.
 
     :param updated_at: time of the leader's last view, seconds.
+    :param absences: models that lie on no engine.
     """
 
     registry: TargetRegistry = field(default_factory=TargetRegistry)
     views_by_id: dict[str, EngineView] = field(default_factory=dict)
     updated_at: float = float('-inf')
+    absences: KnownAbsences = field(default_factory=KnownAbsences)
     _rejected: set[tuple[str, str, str]] = field(default_factory=set)
 
     def apply_view(
@@ -81,6 +84,21 @@
             if self._has_model(record, model, adapter, now)
         ]
 
+    def seconds_until_loaded(
+        self, service: str, model: str, now: float
+    ) -> float:
+        """Return when a model that lies on no engine will be loaded.
+
+        :param service: of the route.
+        :param model: its name.
+        :param now: seconds.
+        :returns: 0 for other models, and while the leader is silent; ``inf``
+            if no load is under way.
+        """
+        if now - self.updated_at >= _VIEW_LIFETIME_SECONDS:
+            return 0
+        return self.absences.seconds_until_loaded(service, model, now)
+
     def mark_missing(self, target_id: str, model: str, adapter: str) -> None:
         """Exclude an engine that answered that it lacks a model or adapter.
 
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
+from cowsliprack.coordination.absent_models import AbsentModels
 from cowsliprack.coordination.adapter_placement import plan_adapter
 from cowsliprack.coordination.cold_loads import (
     URGENT_REQUESTS,
@@ -135,12 +136,14 @@
     :param engines_by_id: state of each engine of the service.
     :param rates: requests per second by model.
     :param cold_loads: limit of concurrent loads from the weight store.
+    :param absent: models that lie on no engine, as of the last plan.
     """
 
     spec: EngineSpec
     rates: DemandRates = field(default_factory=DemandRates)
     engines_by_id: dict[str, EngineState] = field(default_factory=dict)
     cold_loads: ColdLoadLimit = field(default_factory=ColdLoadLimit)
+    absent: AbsentModels = field(default_factory=AbsentModels)
     _lost_loads: LostColdLoads = field(default_factory=LostColdLoads)
     _surveys_open_since: float = math.inf
     _engine_ids: frozenset[str] = frozenset()
@@ -276,6 +279,12 @@
             self._engine_ids = engine_ids
             self._engines_stable_since = now
         self.rates.update_idle(now)
+        self.absent.update(
+            self.spec.models_by_name,
+            self.engines_by_id.values(),
+            self._lost_loads.expected_ends(self.cold_loads.store_limit),
+            now,
+        )
         self._missing.update(
             self._waiting_models.intersection(self.spec.models_by_name),
             self._index.has_copy,
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from cowsliprack.coordination.absent_models import AbsenceLedger
 from cowsliprack.coordination.model_scheduler import GroupDemand, ModelScheduler
 from cowsliprack.coordination.target_limits import (
     AVOIDED_SECONDS,
@@ -19,9 +20,11 @@
     EngineView,
     LeaderView,
     MemberReport,
+    ModelAbsence,
     PeerView,
     WaitingGroup,
 )
+from cowsliprack.protocol.message_level import ABSENCES_LEVEL, message_level
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder, EngineState
 from cowsliprack.state.routing_table import RoutingTable
@@ -105,6 +108,7 @@
     _views_by_id: dict[str, EngineView] = field(default_factory=dict)
     _changed_by_id: dict[str, int] = field(default_factory=dict)
     _gone_by_id: dict[str, int] = field(default_factory=dict)
+    _absences: AbsenceLedger = field(default_factory=AbsenceLedger)
     _limit_reports: list[ReportedUses] = field(default_factory=list)
     _peers: tuple[PeerView, ...] = ()
     _peers_digest: int = 0
@@ -275,6 +279,21 @@
             self._gone_by_id[target_id] = self.sequence
         return True
 
+    def refresh_absences(self) -> bool:
+        """Update the models that lie on no engine, as of the last plan.
+
+        :returns: whether any has changed.
+        """
+        loaded_at_by_name = {
+            (service, model): loaded_at
+            for service, scheduler in self.schedulers_by_service.items()
+            for model, loaded_at in scheduler.absent.loaded_at_by_model.items()
+        }
+        if not self._absences.update(loaded_at_by_name, self.sequence + 1):
+            return False
+        self.sequence += 1
+        return True
+
     def view_for(self, member: Member, now: float) -> LeaderView:
         """Return the changes that an instance has not received yet.
 
@@ -287,6 +306,9 @@
         stamp = member.stamp
         member.stamp = 0
         digest = self._peers_digest
+        absences: tuple[ModelAbsence, ...] = ()
+        if message_level(report.boot) >= ABSENCES_LEVEL:
+            absences = self._absences.changes_since(base, now)
         return LeaderView(
             fencing=self.fencing,
             sequence=self.sequence,
@@ -308,6 +330,7 @@
             limits=divide_limits(report.instance_id, self._limit_reports),
             peers=() if report.peers_digest == digest else self._peers,
             peers_digest=digest,
+            absences=absences,
         )
 
     def apply_limits(self, now: float) -> None:
--- a/cowsliprack/coordination/waiting_requests.py
+++ b/cowsliprack/coordination/waiting_requests.py
@@ -50,6 +50,7 @@
 
     waiters_by_key: dict[GroupKey, set[Waiter]] = field(default_factory=dict)
     closed: bool = False
+    _returning: list[Waiter] = field(default_factory=list)
 
     @contextmanager
     def registered(self, waiter: Waiter) -> Iterator[Waiter]:
@@ -66,6 +67,15 @@
             if not group:
                 self.waiters_by_key.pop(waiter.key, None)
 
+    def expect_return(self, waiter: Waiter) -> None:
+        """Report a rejected request until its caller is due to come back.
+
+        The leader would not learn of the demand for a model otherwise.
+
+        :param waiter: request; ``gives_up_at`` is when its caller comes back.
+        """
+        self._returning.append(waiter)
+
     def close(self) -> None:
         """Wake all requests for a last look; none may wait again."""
         self.closed = True
@@ -83,9 +93,15 @@
 
         :param now: seconds.
         """
+        self._returning = [
+            waiter for waiter in self._returning if waiter.gives_up_at > now
+        ]
+        groups = {key: set(group) for key, group in self.waiters_by_key.items()}
+        for waiter in self._returning:
+            groups.setdefault(waiter.key, set()).add(waiter)
         return tuple(
             _summarise(key, group, now)
-            for key, group in self.waiters_by_key.items()
+            for key, group in groups.items()
             if group
         )
 
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -79,7 +79,7 @@
     """State of an instance, sent to its leader; replaces the previous report.
 
     :param boot: identifies the sender's process, so that a restart is
-        detected.
+        detected; see :mod:`.message_level`.
     :param sequence: increases with each report of the process.
     :param stamp: sender's clock when it sent the report; returned in the view.
     :param view_sequence: sequence of the last view that the sender applied.
@@ -130,6 +130,19 @@
     running: int
 
 
+class ModelAbsence(msgspec.Struct, frozen=True, array_like=True):
+    """A model that lies on no engine, or does so no longer.
+
+    :param loaded_in: seconds until its load from the weight store is expected
+        to end; negative if none is under way.
+    """
+
+    service: str
+    model: str
+    is_absent: bool = True
+    loaded_in: float = -1
+
+
 class TargetView(msgspec.Struct, frozen=True, array_like=True):
     """A registered target, as the leader read it from the store.
 
@@ -153,7 +166,7 @@
     """An instance that reports to the leader.
 
     :param address: address at which other instances reach it.
-    :param boot: identifies its process.
+    :param boot: identifies its process; see :mod:`.message_level`.
     """
 
     instance_id: str
@@ -206,6 +219,8 @@
         target has run it; sent with ``peers``.
     :param store_limits: by service, concurrent loads that the weight store
         serves at full speed, as far as the leader knows.
+    :param absences: models that lie on no engine, or do so no longer, changed
+        since ``base``; only for members of message level 1 or higher.
     """
 
     fencing: int
@@ -231,6 +246,7 @@
     peers_digest: int = 0
     version_ages: dict[str, dict[str, float]] = {}
     store_limits: dict[str, int] = {}
+    absences: tuple[ModelAbsence, ...] = ()
 
 
 class CreditAsk(PeerMessage, frozen=True):
--- /dev/null
+++ b/cowsliprack/protocol/message_level.py
@@ -0,0 +1,33 @@
+"""Which messages and fields a process of another build understands.
+
+Builds run side by side while instances are replaced. The level is the last part
+of the id of a process. All builds relay this id unchanged, so the level also
+reaches instances whose leader is of an earlier build.
+"""
+
+import uuid
+
+# Raised with each message or field that earlier builds do not know:
+# 1: models that lie on no engine, in the views of a leader.
+MESSAGE_LEVEL = 1
+ABSENCES_LEVEL = 1
+_SEPARATOR = '.'
+_ID_LENGTH = 12
+
+
+def new_process_id(level: int = MESSAGE_LEVEL) -> str:
+    """Return an id for this process, with the level that it understands.
+
+    :param level: of the build.
+    """
+    return f'{uuid.uuid4().hex[:_ID_LENGTH]}{_SEPARATOR}{level}'
+
+
+def message_level(boot: str) -> int:
+    """Return the level that a process understands; 0 for earlier builds.
+
+    :param boot: id of the process, as received.
+    """
+    _, separator, level = boot.rpartition(_SEPARATOR)
+    is_stated = bool(separator) and level.isascii() and level.isdecimal()
+    return int(level) if is_stated else 0
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -1,6 +1,5 @@
 """Wires the components of a gateway instance and runs its tasks."""
 
-import uuid
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -17,6 +16,7 @@
 from cowsliprack.coordination.waiting_requests import WaitingRequests
 from cowsliprack.exceptions import ConfigurationError
 from cowsliprack.metrics import Metrics
+from cowsliprack.protocol.message_level import new_process_id
 from cowsliprack.protocol.platform_bindings import PlatformBindings
 from cowsliprack.state.gateway_settings import GatewaySettings
 from cowsliprack.state.routing_table import RoutingTable
@@ -105,7 +105,7 @@
         self.region = Region(
             RegionContext(
                 instance_id=settings.instance_id,
-                boot=uuid.uuid4().hex[:12],
+                boot=new_process_id(),
                 zone=settings.zone,
                 region=settings.region,
                 address=self.sockets.address,
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -389,6 +389,9 @@
             now,
             is_full=not view.base,
         )
+        self.context.fleet.absences.apply(
+            view.absences, now, is_full=not view.base
+        )
         if not view.base:
             # Until a report acknowledges it, each view is a full one.
             self._report_due.set()
@@ -396,6 +399,7 @@
             self.context.target_selector.update_reported(
                 {engine.target_id: engine.running for engine in view.engines},
             )
+        if view.engines or view.absences:
             self.context.waiting_requests.notify_all()
 
     def _announce(self, notice: AnyPoisonNotice) -> None:
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -262,7 +262,10 @@
         self._leader_credit.limit(list(organisations), instances, now)
         has_new_peers = self.state.refresh_peers(now)
         has_new_views = self.state.refresh_views(now)
-        self._send_views(to_all=has_new_views or has_new_peers)
+        has_new_absences = self.state.refresh_absences()
+        self._send_views(
+            to_all=has_new_views or has_new_peers or has_new_absences
+        )
 
     def _log_missing_weights(self, now: float) -> None:
         if now - self._missing_logged_at < _MISSING_LOG_INTERVAL_SECONDS:
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -3,7 +3,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 
@@ -98,6 +98,7 @@
             target_at=request.target_at,
             gives_up_at=gives_up_at,
         )
+        self._check_loadable(request, waiter, now)
         with limits.waiting(limited):
             if not metadata.model:
                 return await self._wait_for_target(request, waiter, limited)
@@ -168,6 +169,37 @@
             return _PLAN_SECONDS
         return model.disk_seconds + _PLAN_SECONDS
 
+    def _check_loadable(
+        self, request: RoutedRequest, waiter: Waiter, now: float
+    ) -> None:
+        """Reject a request whose model lies on no engine and comes too late.
+
+        A load that has not begun takes at least the configured time.
+        """
+        metadata = request.metadata
+        seconds = self.fleet.seconds_until_loaded(
+            request.service, metadata.model, now
+        )
+        if math.isinf(seconds):
+            seconds = self._cold_seconds(request)
+        if seconds <= waiter.gives_up_at - now:
+            return
+        self.waiting_requests.expect_return(
+            replace(waiter, gives_up_at=now + seconds)
+        )
+        self.demand_changed()
+        raise ServingError(
+            ErrorKind.cold_start_unavailable,
+            'the model lies on no engine and is not loaded in time',
+            retry_after=seconds,
+        )
+
+    def _cold_seconds(self, request: RoutedRequest) -> float:
+        service = self.table().services_by_name.get(request.service)
+        engine = service and service.engine
+        model = engine and engine.models_by_name.get(request.metadata.model)
+        return model.cold_seconds if model else 0
+
     async def _wait_for_target(
         self,
         request: RoutedRequest,
@@ -188,6 +220,7 @@
             left = waiter.gives_up_at - now
             if left <= 0:
                 raise _not_in_time(limited, self.rng)
+            self._check_loadable(request, waiter, now)
             changed = waiter.changed
             with anyio.move_on_after(self._recheck_seconds(left, limited, now)):
                 await changed.wait()
--- /dev/null
+++ b/tests/coordination/absent_models.feature
@@ -0,0 +1,60 @@
+Feature: Models that lie on no engine
+  Guards against requests that wait until they time out for a model that no engine
+  has and whose load from the weight store can't end in time (P3), and against
+  the rejection of requests for a model that is only away for a few seconds.
+
+  Background:
+    Given a leader with models a and f, and an engine e1 that holds a
+
+  Scenario Outline: What the leader tells of f: <case>
+    Given an engine e2 is registered, <e2>
+    When the leader plans for <seconds> seconds
+    Then the leader tells of f: <absence>
+
+    Examples:
+      | case                             | e2                                  | seconds | absence |
+      | it has long been away            | with nothing                        | 6       | no load |
+      | it may come back                 | with nothing                        | 4       | nothing |
+      | it lies on a disk                | with f on its disk                  | 6       | nothing |
+      | an engine is not surveyed yet    | not surveyed, with f on its disk    | 6       | nothing |
+      | an engine does not answer        | without an answer, with f           | 6       | nothing |
+      | an earlier leader may load it    | with an order of an earlier leader  | 6       | nothing |
+
+  Scenario: The leader tells when a load under way ends
+    Given an engine e2 is registered, with nothing
+    When the leader plans for 6 seconds
+    And e2 begins to load f from the weight store, which takes 6 seconds
+    Then the leader tells of f: loaded in 6 seconds
+    When the leader plans for 4 seconds
+    Then the leader tells of f: loaded in 2 seconds
+    When the load has ended
+    Then the leader tells of f: nothing
+
+  Scenario: A member is told each change once
+    Given an engine e2 is registered, with nothing
+    And a member of this build
+    When the leader plans for 6 seconds
+    Then its view has 1 absence, and it knows that f has no load
+    And its next view has 0 absences
+    When f lies on a disk again
+    Then its view has 1 absence, and it knows nothing of f
+    And its next view has 0 absences
+
+  Scenario: A member that follows another leader forgets what the last one told
+    Given an engine e2 is registered, with nothing
+    And a member of this build
+    When the leader plans for 6 seconds
+    Then its view has 1 absence, and it knows that f has no load
+    When a leader without absences sends its first view
+    Then it knows nothing of f
+
+  Scenario Outline: A member of <build> build
+    Given an engine e2 is registered, with nothing
+    And a member of <build> build
+    When the leader plans for 6 seconds
+    Then its view has <count> absences
+
+    Examples:
+      | build      | count |
+      | this       | 1     |
+      | an earlier | 0     |
--- a/tests/steps/target_finder_steps.py
+++ b/tests/steps/target_finder_steps.py
@@ -1,5 +1,6 @@
 """Steps for requests that wait for a target."""
 
+import re
 import time
 
 import anyio
@@ -11,6 +12,7 @@
 from cowsliprack.coordination.waiting_requests import WaitingRequests
 from cowsliprack.exceptions import ErrorKind, Ran, ServingError
 from cowsliprack.protocol.dialect import RequestMetadata
+from cowsliprack.protocol.gateway_messages import ModelAbsence
 from cowsliprack.state.target_registry import LoadedModel, TargetState
 from cowsliprack.transport.target_finder import TargetFinder
 from tests.support.routed import TABLE, routed_request, target_record
@@ -146,6 +148,7 @@
 def given_limited_engine(context, rate):
     context.records = [_engine('e1', 'm0')]
     context.rates_by_id = {'e1': rate}
+    context.absences = ()
 
 
 def _engine(target_id, *models):
@@ -186,10 +189,13 @@
     'a request for m0{adapter} that can wait {patience:g} seconds looks for it'
 )
 @when('a request for m0 that can wait {patience:g} seconds looks for it')
-def when_model_looked_for(context, patience, adapter=''):
+def when_model_looked_for(context, patience, adapter='', seconds=0.05):
     now = time.monotonic()
     fleet = FleetView()
     fleet.registry.replace(context.records, 1)
+    if context.absences:
+        fleet.updated_at = now - context.view_age
+        fleet.absences.apply(context.absences, now, is_full=True)
     selector = TargetSelector('z')
     for target_id, rate in context.rates_by_id.items():
         selector.limits.record_answer(target_id, rate, now)
@@ -204,11 +210,14 @@
             'id', '', None, model='m0', adapter=adapter.removeprefix('/')
         ),
     )
-    context.error = anyio.run(_find_briefly, finder, request)
+    context.finder = finder
+    context.began_at = now
+    context.error = anyio.run(_find_briefly, finder, request, seconds)
+    context.waited = time.monotonic() - now
 
 
-async def _find_briefly(finder, request):
-    with anyio.move_on_after(0.05):
+async def _find_briefly(finder, request, seconds):
+    with anyio.move_on_after(seconds):
         try:
             await finder.find(request)
         except ServingError as error:
@@ -307,3 +316,56 @@
     assert not context.found, context.found
     (group,) = context.groups
     assert (group.model, group.software_version) == ('m0', version), group
+
+
+@given('an engine without m0, and a leader that says of m0: {absence}')
+def given_absent(context, absence):
+    context.records = [_engine('e1', 'm1')]
+    context.rates_by_id = {}
+    loaded_in = re.search(r'in (\d+) seconds', absence)
+    context.absences = (
+        ()
+        if absence == 'nothing'
+        else (
+            ModelAbsence(
+                'llm', 'm0', loaded_in=float(loaded_in[1]) if loaded_in else -1
+            ),
+        )
+    )
+
+
+@given('its last view is {age:g} seconds old')
+def given_view_age(context, age):
+    context.view_age = age
+
+
+@when(
+    'a request for m0 that can wait {patience:g} seconds looks for it for '
+    '{seconds:g} seconds'
+)
+def when_absent_looked_for(context, patience, seconds):
+    when_model_looked_for(context, patience, seconds=seconds)
+
+
+@then('it is to come back in {seconds:g} s')
+def then_come_back(context, seconds):
+    assert context.error is not None
+    assert context.error.kind is ErrorKind.cold_start_unavailable
+    assert context.error.ran is Ran.not_run
+    assert abs(context.error.retry_after - seconds) < 0.2, (
+        context.error.retry_after
+    )
+
+
+@then('{count:d} request for m0 is reported after {seconds:g} seconds')
+@then('{count:d} requests for m0 are reported after {seconds:g} seconds')
+def then_reported(context, count, seconds):
+    groups = context.finder.waiting_requests.group_summaries(
+        context.began_at + seconds
+    )
+    assert sum(group.count for group in groups) == count, groups
+
+
+@then('it has waited for less than {seconds:g} seconds')
+def then_waited(context, seconds):
+    assert context.waited < seconds, context.waited
--- a/tests/transport/target_finder.feature
+++ b/tests/transport/target_finder.feature
@@ -67,3 +67,33 @@
     Given engines of v1 and v2 that hold m0
     When a request for m0 of a stream that another service began looks for a target
     Then it is rejected: no target runs the version
+
+  Scenario Outline: A request for a model that lies on no engine: <case>
+    Given an engine without m0, and a leader that says of m0: <absence>
+    And its last view is <age> seconds old
+    When a request for m0 that can wait <patience> seconds looks for it
+    Then it <result>
+
+    Examples:
+      | case                       | absence             | age | patience | result                                    |
+      | no load, which takes 0.2 s | no load             | 0   | 0.1      | is to come back in 0.2 s                  |
+      | a load could end in time   | no load             | 0   | 4        | waits                                     |
+      | its load ends too late     | loaded in 4 seconds | 0   | 2        | is to come back in 4 s                    |
+      | its load ends in time      | loaded in 4 seconds | 0   | 6        | waits                                     |
+      | another model is absent    | nothing             | 0   | 0.1      | waits                                     |
+      | the leader is silent       | no load             | 6   | 0.1      | waits                                     |
+
+  Scenario: The leader learns of requests for absent models until they come back
+    Given an engine without m0, and a leader that says of m0: loaded in 4 seconds
+    And its last view is 0 seconds old
+    When a request for m0 that can wait 2 seconds looks for it
+    Then it is to come back in 4 s
+    And 1 request for m0 is reported after 3.5 seconds
+    And 0 requests for m0 are reported after 4.5 seconds
+
+  Scenario: A request that waits is rejected once no load can end in time
+    Given an engine without m0, and a leader that says of m0: no load
+    And its last view is 0 seconds old
+    When a request for m0 that can wait 0.4 seconds looks for it for 0.5 seconds
+    Then it is to come back in 0.2 s
+    And it has waited for less than 0.35 seconds
