Take an answer without a length as broken if it ends before its body

An engine that sends the head of an answer without a length or chunks and closes got its caller a complete 200 with nothing in it, for orders and for lookups; streams were guarded already. Now an order ends with 502 (may have run) and a lookup is sent to another target.

--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -50,6 +50,8 @@
 _SILENCE_TIMEOUT_FACTOR = 2.5
 _MIN_SERVER_ERROR_STATUS = 500
 _STATUS_OK = 200
+# Statuses of answers that never have a body.
+_EMPTY_STATUSES = frozenset((204, 304))
 
 
 class _NotRunError(TargetError):
@@ -477,7 +479,7 @@
             if _has_framing(response):
                 self.poison.on_answered(request.digests, sent_at)
             return
-        body = await read_body(response, MAX_ANSWER_BYTES)
+        body = await _read_answer(request.exchange.method, response)
         if status >= _MIN_SERVER_ERROR_STATUS and self._may_retry_elsewhere(
             request, target
         ):
@@ -636,3 +638,18 @@
     return bool(
         response.headers.keys() & {'content-length', 'transfer-encoding'}
     )
+
+
+async def _read_answer(method: str, response: httpx.Response) -> bytes:
+    """Return the whole body of an answer that is not a stream.
+
+    An answer without a length ends with its connection, so nothing but the
+    missing body tells that its target has stopped after the head.
+
+    :raises httpx.ReadError: the answer ended early.
+    """
+    body = await read_body(response, MAX_ANSWER_BYTES)
+    has_no_body = method == 'HEAD' or response.status_code in _EMPTY_STATUSES
+    if not (body or has_no_body or _has_framing(response)):
+        raise httpx.ReadError('the answer ended before its body')
+    return body
--- a/tests/steps/route_streams_steps.py
+++ b/tests/steps/route_streams_steps.py
@@ -202,6 +202,70 @@
     assert started == [status], (started, context.error)
 
 
+_FRAMED_HEADS = {
+    'a length': b'content-length: %d\r\n' % len(_ANSWER),
+    'chunks': b'transfer-encoding: chunked\r\n',
+    'no length': b'connection: close\r\n',
+}
+_FRAMED_BODIES = {
+    'a length': _ANSWER,
+    'chunks': b'%x\r\n%s\r\n0\r\n\r\n' % (len(_ANSWER), _ANSWER),
+    'no length': _ANSWER,
+}
+_BODY_BYTES_BEFORE_CUT = 8
+
+
+class _CuttingEngine(_Engine):
+    """Engine that stops in its first answer and gives the second one whole.
+
+    :param where: where it stops.
+    :param framing: of both answers.
+    """
+
+    def __init__(self, where, framing, end):
+        head = (
+            b'HTTP/1.1 200 OK\r\nx-attempt-id: id\r\n'
+            + _FRAMED_HEADS[framing]
+            + b'content-type: text/plain\r\n'
+        )
+        body = _FRAMED_BODIES[framing]
+        self.whole_answer = b'%s\r\n%s' % (head, body)
+        stops = {
+            'inside a head line': len(head) - 7,
+            'after a head line': len(head),
+            'after the head': len(head) + 2,
+            'inside the body': len(head) + 2 + _BODY_BYTES_BEFORE_CUT,
+        }
+        super().__init__(end, self.whole_answer[: stops[where]], b'')
+
+    def _answer(self, connection):
+        self.heads.append(connection.recv(65536))
+        if len(self.heads) > 1:
+            connection.sendall(self.whole_answer)
+            return
+        connection.sendall(self.broken)
+        if self.end == 'resets':
+            time.sleep(_BEFORE_RESET_SECONDS)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+
+
+@given('an engine that stops {where} of an answer with {framing}, and {end:w}')
+def given_cutting(context, where, framing, end):
+    context.engine = _CuttingEngine(where, framing, end)
+    context.add_cleanup(context.engine.listener.close)
+
+
+@then('no answer is framed as whole unless it is')
+def then_no_false_end(context):
+    body = b''.join(message.get('body', b'') for message in context.messages)
+    has_ended = any(
+        message['type'] == 'http.response.body'
+        and not message.get('more_body', False)
+        for message in context.messages
+    )
+    assert not has_ended or body == _ANSWER, context.messages
+
+
 @when('a caller asks for a stream at {path}')
 @when('a caller asks for an answer at {path}')
 def when_asked(context, path):
--- a/tests/transport/route_streams.feature
+++ b/tests/transport/route_streams.feature
@@ -56,3 +56,42 @@
       | as a whole   | /stock/  | the whole answer | 1     |
       | with a reset | /order/  | target_failed    | 1     |
       | with a reset | /stock/  | the whole answer | 2     |
+
+  Scenario Outline: An engine stops <where>, with <framing>, on <path>
+    Given an engine that stops <where> of an answer with <framing>, and <ends>
+    When a caller asks for an answer at <path>
+    Then no answer is framed as whole unless it is
+    And the outcome is <outcome>
+    And the engine got <count> requests
+
+    Examples: in the head
+      | where               | framing   | ends   | path     | outcome          | count |
+      | inside a head line  | a length  | closes | /order/  | target_failed    | 1     |
+      | after a head line   | a length  | closes | /order/  | target_failed    | 1     |
+      | after a head line   | chunks    | closes | /order/  | target_failed    | 1     |
+      | after a head line   | no length | closes | /order/  | target_failed    | 1     |
+      | after a head line   | no length | resets | /order/  | target_failed    | 1     |
+      | after a head line   | a length  | closes | /stock/  | the whole answer | 2     |
+      | after a head line   | no length | closes | /stock/  | the whole answer | 2     |
+      | after a head line   | no length | closes | /report/ | target_failed    | 1     |
+
+    Examples: after the head, before the body
+      | where               | framing   | ends   | path     | outcome          | count |
+      | after the head      | a length  | closes | /order/  | target_failed    | 1     |
+      | after the head      | a length  | resets | /order/  | target_failed    | 1     |
+      | after the head      | chunks    | closes | /order/  | target_failed    | 1     |
+      | after the head      | no length | closes | /order/  | target_failed    | 1     |
+      | after the head      | no length | resets | /order/  | target_failed    | 1     |
+      | after the head      | a length  | closes | /stock/  | the whole answer | 2     |
+      | after the head      | chunks    | closes | /stock/  | the whole answer | 2     |
+      | after the head      | no length | closes | /stock/  | the whole answer | 2     |
+      | after the head      | a length  | closes | /report/ | target_failed    | 1     |
+      | after the head      | chunks    | closes | /report/ | target_failed    | 1     |
+      | after the head      | no length | closes | /report/ | target_failed    | 1     |
+
+    Examples: inside the body
+      | where               | framing   | ends   | path     | outcome          | count |
+      | inside the body     | a length  | closes | /order/  | target_failed    | 1     |
+      | inside the body     | chunks    | closes | /order/  | target_failed    | 1     |
+      | inside the body     | a length  | closes | /stock/  | the whole answer | 2     |
+      | inside the body     | chunks    | resets | /stock/  | the whole answer | 2     |
