--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -51,7 +51,9 @@
             reservation.close()
 
 
-def configuration(version=1, keys=(KEY,), rate=100000, prefix='/chat/'):
+def configuration(
+    version=1, keys=(KEY,), rate=100000, prefix='/chat/', load_seconds=0.2
+):
     """Return a configuration document as an operator writes it."""
     routes = [
         _route('chat', prefix, 'stream', 'llm', resumable=True, attempts=2),
@@ -64,7 +66,7 @@
         {
             'name': name,
             'weights_size': 70.0,
-            'load_s': 0.2,
+            'load_s': load_seconds,
             'adapters': 4,
             'adapter_mb': 1.0,
             'warm_s': 0.1,
@@ -127,6 +129,8 @@
         self.processes = {}
         self.ports = {}
         self.cut = Cut()
+        # Folders of the builds of gateways that do not run this one.
+        self.build_by_name = {}
         self._folder = tempfile.TemporaryDirectory()
         self._started = threading.Event()
         self._loop = None
@@ -240,11 +244,14 @@
         )
         self.log_path = Path(self._folder.name) / f'{name}.log'
         with open(self.log_path, 'ab') as log:
+            build = str(self.build_by_name.get(name, Path.cwd()))
             self.processes[name] = subprocess.Popen(
                 [sys.executable, '-m', 'cowsliprack', 'platform'],
+                cwd=build,
                 env={
                     **os.environ,
                     'COWSLIPRACK_SETTINGS': str(settings),
+                    'PYTHONPATH': build,
                 },
                 stdout=log,
                 stderr=log,
