Wait for an engine that does not answer before its models are loaded elsewhere

A model with a copy on an engine that has not left, but does not answer or is not surveyed, waits for it up to 5 s; other models take the turn meanwhile. An engine that leaves is not waited for.

--- a/cowsliprack/coordination/engine_index.py
+++ b/cowsliprack/coordination/engine_index.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from cowsliprack.state.engine_state import EngineState
+from cowsliprack.state.target_registry import TargetState
 
 
 @dataclass(slots=True)
@@ -20,6 +21,8 @@
         memory or on disk.
     :param pending_models: models that are being loaded or are assigned to an
         engine.
+    :param returning_models: models with a copy on an engine that has not left,
+        but does not answer or is not surveyed yet.
     :param most_copies: largest number of models on the disk of one engine.
     """
 
@@ -33,6 +36,7 @@
         default_factory=lambda: defaultdict(list),
     )
     pending_models: set[str] = field(default_factory=set)
+    returning_models: set[str] = field(default_factory=set)
     most_copies: int = 1
 
     def offering(self, model: str) -> list[EngineState]:
@@ -149,6 +153,8 @@
     for engine in engines:
         index.running_by_model.update(engine.running)
         if not engine.is_usable():
+            if engine.record.state is TargetState.ready:
+                index.returning_models.update(engine.models_at_hand())
             continue
         index.usable.append(engine)
         index.load_by_id[engine.target_id] = engine.running_count()
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -62,6 +62,9 @@
 # Seconds for which the set of engines must be unchanged before models without
 # a copy on any engine are preloaded; longer than re-registration takes.
 _STABLE_ENGINES_SECONDS = 1.3
+# Seconds for which a model is not loaded from the weight store while an engine
+# with a copy does not answer; a crashed engine is back in two to four.
+_RETURN_SECONDS = 5.0
 # Seconds for which loads from the weight store wait for the surveys of engines;
 # a survey takes milliseconds unless the engine does not answer.
 _SURVEY_SECONDS = 1.0
@@ -146,6 +149,7 @@
     absent: AbsentModels = field(default_factory=AbsentModels)
     _lost_loads: LostColdLoads = field(default_factory=LostColdLoads)
     _surveys_open_since: float = math.inf
+    _returns_until_by_model: dict[str, float] = field(default_factory=dict)
     _engine_ids: frozenset[str] = frozenset()
     _engines_stable_since: float = 0
     _missing: MissingModels = field(default_factory=MissingModels)
@@ -274,6 +278,11 @@
         self._surveys_open_since = (
             min(self._surveys_open_since, now) if is_open else math.inf
         )
+        until = now + _RETURN_SECONDS
+        self._returns_until_by_model = {
+            name: self._returns_until_by_model.get(name, until)
+            for name in self._index.returning_models
+        }
         engine_ids = frozenset(self._index.load_by_id)
         if engine_ids != self._engine_ids:
             self._engine_ids = engine_ids
@@ -563,6 +572,8 @@
         if not candidate.count and self._missing.waiting:
             # A load for an additional replica would serve no other model.
             return False
+        if now < self._returns_until_by_model.get(candidate.model, now):
+            return False
         open_seconds = now - self._surveys_open_since
         if 0 <= open_seconds < _SURVEY_SECONDS:
             # An engine that is about to answer may have a copy.
--- a/cowsliprack/state/engine_state.py
+++ b/cowsliprack/state/engine_state.py
@@ -114,6 +114,13 @@
         record = self.record
         return model not in record.in_memory and model not in record.on_disk
 
+    def models_at_hand(self) -> set[str]:
+        """Return the models in its memory or with a copy on it."""
+        record = self.record
+        return set(self.adapters_by_model).union(
+            record.loaded_models_by_name, record.in_memory, record.on_disk
+        )
+
     def adapter_count(self) -> int:
         """Return the number of loaded adapters of all models."""
         return sum(len(names) for names in self.adapters_by_model.values())
