Do not repeat loads from the weight store that the last leader has begun

An engine that carries out an order of an earlier leader does not say of which model. A leader tells of each load when it begins, so that a member that takes over knows them and waits until a second after their expected end. A model with a load under way counts as absent at once, not after 5 s.

--- a/cowsliprack/coordination/absent_models.py
+++ b/cowsliprack/coordination/absent_models.py
@@ -55,7 +55,7 @@
         self.loaded_at_by_model = {
             name: loads.get(name, math.inf)
             for name, since in self._since_by_model.items()
-            if now - since > _SETTLED_SECONDS
+            if now - since > _SETTLED_SECONDS or name in loads
         }
         if any(engine.has_unknown_order() for engine in engines):
             # An earlier leader may have ordered a load of any of them.
@@ -152,6 +152,18 @@
                     now + absence.loaded_in if is_loading else math.inf
                 )
 
+    def loads_under_way(self) -> dict[tuple[str, str], float]:
+        """Return the loads of absent models, for a leader that takes over.
+
+        :returns: by service and model, when the load is expected to end,
+            seconds.
+        """
+        return {
+            name: loaded_at
+            for name, loaded_at in self.loaded_at_by_name.items()
+            if math.isfinite(loaded_at)
+        }
+
     def seconds_until_loaded(
         self, service: str, model: str, now: float
     ) -> float:
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -65,6 +65,8 @@
 # Seconds for which a model is not loaded from the weight store while an engine
 # with a copy does not answer; a crashed engine is back in two to four.
 _RETURN_SECONDS = 5.0
+# Seconds by which a load may end later than the leader that began it expected.
+_EARLIER_LOAD_MARGIN_SECONDS = 1.0
 # Seconds for which loads from the weight store wait for the surveys of engines;
 # a survey takes milliseconds unless the engine does not answer.
 _SURVEY_SECONDS = 1.0
@@ -140,6 +142,8 @@
     :param rates: requests per second by model.
     :param cold_loads: limit of concurrent loads from the weight store.
     :param absent: models that lie on no engine, as of the last plan.
+    :param earlier_loads: by model, when a load from the weight store that the
+        last leader has begun is expected to end, seconds.
     """
 
     spec: EngineSpec
@@ -147,6 +151,7 @@
     engines_by_id: dict[str, EngineState] = field(default_factory=dict)
     cold_loads: ColdLoadLimit = field(default_factory=ColdLoadLimit)
     absent: AbsentModels = field(default_factory=AbsentModels)
+    earlier_loads: Mapping[str, float] = field(default_factory=dict)
     _lost_loads: LostColdLoads = field(default_factory=LostColdLoads)
     _surveys_open_since: float = math.inf
     _returns_until_by_model: dict[str, float] = field(default_factory=dict)
@@ -574,6 +579,9 @@
             return False
         if now < self._returns_until_by_model.get(candidate.model, now):
             return False
+        earlier_end = self.earlier_loads.get(candidate.model, -math.inf)
+        if now < earlier_end + _EARLIER_LOAD_MARGIN_SECONDS:
+            return False
         open_seconds = now - self._surveys_open_since
         if 0 <= open_seconds < _SURVEY_SECONDS:
             # An engine that is about to answer may have a copy.
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -93,6 +93,8 @@
     :param rotations_by_service: decisions for each service with engines.
     :param first_store_limits: by service, concurrent loads that the weight
         store serves at full speed, as far as earlier leaders knew.
+    :param first_loads: by service and model, when a load that the last leader
+        has begun is expected to end, seconds.
     :param sequence: incremented with each change of an engine view.
     """
 
@@ -104,6 +106,7 @@
     )
     members_by_id: dict[str, Member] = field(default_factory=dict)
     first_store_limits: Mapping[str, int] = field(default_factory=dict)
+    first_loads: Mapping[tuple[str, str], float] = field(default_factory=dict)
     sequence: int = 1
     _views_by_id: dict[str, EngineView] = field(default_factory=dict)
     _changed_by_id: dict[str, int] = field(default_factory=dict)
@@ -127,6 +130,11 @@
                 limit = self.first_store_limits.get(service.name)
                 if limit is not None:
                     scheduler.cold_loads.inherit(limit)
+                scheduler.earlier_loads = {
+                    model: ends_at
+                    for (name, model), ends_at in self.first_loads.items()
+                    if name == service.name
+                }
                 self.schedulers_by_service[service.name] = scheduler
             scheduler.spec = service.engine
         for name in set(self.schedulers_by_service) - set(
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -141,6 +141,7 @@
             context.instance_id,
             context.address,
             first_store_limits=first_store_limits,
+            first_loads=context.fleet.absences.loads_under_way(),
         )
         self._notices = LeaderNotices(context.instance_id, lease.fencing)
         self._executor = OrderExecutor(
--- a/tests/coordination/absent_models.feature
+++ b/tests/coordination/absent_models.feature
@@ -30,6 +30,12 @@
     When the load has ended
     Then the leader tells of f: nothing
 
+  Scenario: A load is told as soon as it has begun
+    Given an engine e2 is registered, with nothing
+    When the leader plans for 1 seconds
+    And e2 begins to load f from the weight store, which takes 6 seconds
+    Then the leader tells of f: loaded in 6 seconds
+
   Scenario: A member is told each change once
     Given an engine e2 is registered, with nothing
     And a member of this build
@@ -58,3 +64,16 @@
       | build      | count |
       | this       | 1     |
       | an earlier | 0     |
+
+  Scenario Outline: The next leader waits for a load of the last one, <seconds> s
+    Given an engine e2 is registered, with nothing
+    And a member of this build
+    When the leader plans for 6 seconds
+    And e2 begins to load f from the weight store, which takes 6 seconds
+    And the member leads, and a request waits for f for <seconds> seconds
+    Then the load of f has been ordered <count> times by the member
+
+    Examples:
+      | seconds | count |
+      | 5       | 0     |
+      | 8       | 1     |
--- a/tests/steps/absent_models_steps.py
+++ b/tests/steps/absent_models_steps.py
@@ -13,7 +13,12 @@
 from cowsliprack.protocol.peer import decode_message, encode_message
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder, EngineState
-from cowsliprack.state.routing_table import EngineSpec, ModelSpec
+from cowsliprack.state.routing_table import (
+    EngineSpec,
+    ModelSpec,
+    RoutingTable,
+    ServiceSpec,
+)
 from tests.support.routed import target_record
 
 _COLD_SECONDS = 6.0
@@ -74,9 +79,8 @@
     _plan(context)
 
 
-@when('e2 begins to load f from the weight store, which takes 6 seconds')
-def when_load_begins(context):
-    demand = GroupDemand(
+def _demand(context):
+    return GroupDemand(
         service='s',
         model='f',
         adapter='',
@@ -85,7 +89,11 @@
         gives_up_at=context.now + 8,
         since=context.now,
     )
-    _plan(context, [demand])
+
+
+@when('e2 begins to load f from the weight store, which takes 6 seconds')
+def when_load_begins(context):
+    _plan(context, [_demand(context)])
     _plan(context)
     assert any(
         engine.loading_model() == 'f'
@@ -93,6 +101,40 @@
     )
 
 
+@when('the member leads, and a request waits for f for {seconds:d} seconds')
+def when_member_leads(context, seconds):
+    _apply(context)
+    engines = context.scheduler.engines_by_id.values()
+    spec = context.scheduler.spec
+    state = RegionState(
+        8,
+        'i1',
+        '127.0.0.1:2',
+        first_loads=context.known.loads_under_way(),
+    )
+    state.apply_routing_table(
+        RoutingTable(
+            generation=1,
+            services_by_name={'s': ServiceSpec('s', 1, engine=spec)},
+        )
+    )
+    context.scheduler = state.schedulers_by_service['s']
+    context.scheduler.rates.add('a', 20, context.now)
+    for engine in engines:
+        _add_engine(context, engine.target_id, engine.adapters_by_model)
+    demand = _demand(context)
+    orders = []
+    for _ in range(seconds * 10):
+        context.now += 0.1
+        orders += context.scheduler.plan([demand], context.now)
+    context.loads = [order for order in orders if order.model == 'f']
+
+
+@then('the load of f has been ordered {count:d} times by the member')
+def then_load_count(context, count):
+    assert len(context.loads) == count, context.loads
+
+
 @when('the load has ended')
 def when_load_ended(context):
     for engine in context.scheduler.engines_by_id.values():
