Let a model be loaded at one software version while another version loads it

The new scenario of model_scheduler.feature failed before; the older one has a disk and did not notice.

--- a/cowsliprack/coordination/engine_index.py
+++ b/cowsliprack/coordination/engine_index.py
@@ -83,7 +83,7 @@
         ]
         if not all(engine.is_cold(model) for engine in loading):
             return True
-        return not any(
+        return bool(loading) and not any(
             software_version in {'', engine.record.software_version}
             for engine in self.disks_with(model)
         )
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -569,3 +569,13 @@
     And 1 request waits for f at the software version v2
     When the scheduler plans
     Then the orders are "e2 load f"
+
+  Scenario: A load from the weight store at another software version is no reason to wait
+    Given an engine e1 of v1 with a, and a on disk
+    And an engine e2 of v2 with b, and b on disk
+    And 1 request waits for f at the software version v2
+    When the scheduler plans
+    Then the orders are "e2 load f"
+    Given 1 request waits for f at the software version v1
+    When the scheduler plans
+    Then the orders are "e1 load f"
