--- a/cowsliprack/coordination/absent_models.py
+++ b/cowsliprack/coordination/absent_models.py
@@ -24,6 +24,8 @@
 class AbsentModels:
     """Models of one service without a copy on any registered engine.
 
+    Unlike ``MissingModels``, these need not have been asked for.
+
     :param loaded_at_by_model: by absent model, the time at which its load from
         the weight store is expected to end, seconds; ``inf`` without a load.
     """
@@ -52,14 +54,14 @@
             for name in models
             if name not in at_hand
         }
+        # An order of an earlier leader may be the load of any of them.
+        may_be_loading = any(engine.has_unknown_order() for engine in engines)
+        settled_since = -math.inf if may_be_loading else now - _SETTLED_SECONDS
         self.loaded_at_by_model = {
             name: loads.get(name, math.inf)
             for name, since in self._since_by_model.items()
-            if now - since > _SETTLED_SECONDS or name in loads
+            if since < settled_since or name in loads
         }
-        if any(engine.has_unknown_order() for engine in engines):
-            # An earlier leader may have ordered a load of any of them.
-            self.loaded_at_by_model = {}
 
 
 @dataclass(slots=True)
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -293,10 +293,16 @@
             self._engine_ids = engine_ids
             self._engines_stable_since = now
         self.rates.update_idle(now)
+        self.earlier_loads = {
+            name: ends_at
+            for name, ends_at in self.earlier_loads.items()
+            if now < ends_at + _EARLIER_LOAD_MARGIN_SECONDS
+        }
+        own_loads = self._lost_loads.expected_ends(self.cold_loads.store_limit)
         self.absent.update(
             self.spec.models_by_name,
             self.engines_by_id.values(),
-            self._lost_loads.expected_ends(self.cold_loads.store_limit),
+            {**self.earlier_loads, **own_loads},
             now,
         )
         self._missing.update(
@@ -579,8 +585,7 @@
             return False
         if now < self._returns_until_by_model.get(candidate.model, now):
             return False
-        earlier_end = self.earlier_loads.get(candidate.model, -math.inf)
-        if now < earlier_end + _EARLIER_LOAD_MARGIN_SECONDS:
+        if candidate.model in self.earlier_loads:
             return False
         open_seconds = now - self._surveys_open_since
         if 0 <= open_seconds < _SURVEY_SECONDS:
--- a/tests/coordination/absent_models.feature
+++ b/tests/coordination/absent_models.feature
@@ -77,3 +77,17 @@
       | seconds | count |
       | 5       | 0     |
       | 8       | 1     |
+
+  Scenario: The leader after the next one learns of a load that goes on
+    Given an engine e2 is registered, with an order of an earlier leader
+    And the last leader has told that it loads f for 6 seconds
+    When the leader plans for 2 seconds
+    Then the leader tells of f: loaded in 4 seconds
+
+  Scenario: Loads are told while an order of an earlier leader goes on
+    Given an engine e2 is registered, with nothing
+    When the leader plans for 6 seconds
+    And e2 begins to load f from the weight store, which takes 6 seconds
+    Given an engine e3 is registered, with an order of an earlier leader
+    When the leader plans for 2 seconds
+    Then the leader tells of f: loaded in 4 seconds
--- a/tests/steps/absent_models_steps.py
+++ b/tests/steps/absent_models_steps.py
@@ -49,20 +49,25 @@
     _add_engine(context, 'e1', 'a')
 
 
-@given('an engine e2 is registered, {what}')
-def given_engine(context, what):
+@given('the last leader has told that it loads f for {seconds:d} seconds')
+def given_earlier_load(context, seconds):
+    context.scheduler.earlier_loads = {'f': context.now + seconds}
+
+
+@given('an engine {name:w} is registered, {what}')
+def given_engine(context, name, what):
     holds = 'f' if 'with f' in what else ()
     is_on_disk = 'on its disk' in what
     engine = _add_engine(
         context,
-        'e2',
+        name,
         held=() if is_on_disk else holds,
         on_disk=holds if is_on_disk else (),
     )
     engine.surveyed = 'not surveyed' not in what
     engine.silent = 'without an answer' in what
     if 'earlier leader' in what:
-        engine.order = EngineOrder('e2', OrderKind.unload, '')
+        engine.order = EngineOrder(name, OrderKind.unload, '')
 
 
 def _plan(context, groups=()):
