--- a/tests/bench/rotation_replay.feature
+++ b/tests/bench/rotation_replay.feature
@@ -4,7 +4,7 @@
   between busy models.
 
   Scenario Outline: Models loaded before the first request increase the value: <workload>
-    Given the workload "<workload>" replayed with 3 seeds
+    Given the workload "<workload>" replayed with 10 seeds
     When it is replayed without lead time before the first request
     Then a larger share of the value was earned with the lead time
 
