--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -246,8 +246,8 @@
         with open(self.log_path, 'ab') as log:
             build = str(self.build_by_name.get(name, Path.cwd()))
             self.processes[name] = subprocess.Popen(
-                [sys.executable, '-m', 'cowsliprack', 'platform'],
-                cwd=build,
+                # -P keeps this build, in the working directory, off the path.
+                [sys.executable, '-P', '-m', 'cowsliprack', 'platform'],
                 env={
                     **os.environ,
                     'COWSLIPRACK_SETTINGS': str(settings),
