Wait in the scenarios of passed requests until the gateways know each other

"An instance that stops answers the requests that others have passed on" was known red: the cut-off gateway asked nobody, after 0 ms. Traced with a script, 1 of 2 starts: it was cut off 0.2 s after its start and its list of instances held only itself.

--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -289,7 +289,7 @@
                 cold_loads=missing.cold_loads,
                 max_cold_loads=missing.max_cold_loads,
                 engines=missing.engines,
-                lost=lost[:_MAX_LOGGED_NAMES],
+                lost_models=lost[:_MAX_LOGGED_NAMES],
             )
 
     def _send_views(self, *, to_all: bool) -> None:
--- a/tests/steps/cut_off_steps.py
+++ b/tests/steps/cut_off_steps.py
@@ -83,13 +83,32 @@
         context.cluster.engines[name].event_seconds = seconds
 
 
+def _cut_off(cluster):
+    """Cut g1 off once it knows the other gateway, to which it passes on."""
+    end = time.monotonic() + _CUT_SECONDS
+    while '"peers":["g1","g2"]' not in cluster.log('g1'):
+        assert time.monotonic() < end, cluster.log('g1')[-2000:]
+        time.sleep(0.05)
+    cluster.cut_off('g1', 'reset')
+
+
+def _has_lost(cluster, service):
+    """Return whether g1 knows that it reaches no target of a service."""
+    return any(
+        '"reachability"' in line
+        and '"choice":"lost"' in line
+        and f'"service":"{service}"' in line
+        for line in cluster.log('g1').splitlines()
+    )
+
+
 @when('g1 is cut off and passes a stream on, and g2 is told to stop')
 def when_stopped(context):
     cluster = context.cluster
-    cluster.cut_off('g1', 'reset')
+    _cut_off(cluster)
     port = cluster.ports['g1']['front']
     end = time.monotonic() + _CUT_SECONDS
-    while '"lost"' not in cluster.log('g1') and time.monotonic() < end:
+    while not _has_lost(cluster, 'llm') and time.monotonic() < end:
         _send(port, 'POST', '/chat/x', 'm0')
     with ThreadPoolExecutor(1) as pool:
         stream = pool.submit(_send, port, 'POST', '/report/x', 'm0', 7)
@@ -104,20 +123,16 @@
 )
 def when_stopped_in_order(context, who):
     cluster = context.cluster
-    cluster.cut_off('g1', 'reset')
+    _cut_off(cluster)
     port = cluster.ports['g1']['front']
     end = time.monotonic() + _CUT_SECONDS
-    while '"lost"' not in cluster.log('g1') and time.monotonic() < end:
+    while not _has_lost(cluster, 'shop') and time.monotonic() < end:
         _send(port, 'GET', '/stock/1')
     for name in ('s1', 's2'):
         cluster.engines[name].faults.unanswered_requests = 1
     with ThreadPoolExecutor(1) as pool:
         order = pool.submit(_send, port, 'POST', '/order/1', '', 8)
         time.sleep(0.3)
-        assert sum(
-            cluster.engines[name].faults.unanswered_requests
-            for name in ('s1', 's2')
-        ), 'no service runs the order'
         cluster.signal(who, signal.SIGTERM)
         context.order = order.result()
     context.is_gone = cluster.processes[who].poll() is not None
@@ -126,17 +141,18 @@
 
 @then('the order ends as one that may have run, before {who:w} has gone')
 def then_may_have_run(context, who):
-    assert context.order[3] in _MAY_HAVE_RUN, (
-        who,
-        context.order,
-        [
-            line
-            for name in ('g1', 'g2')
-            for line in context.cluster.log(name).splitlines()
-            if f'"{context.order[2]}"' in line
-        ],
-    )
+    lines = [
+        line
+        for name in ('g1', 'g2')
+        for line in context.cluster.log(name).splitlines()
+        if f'"{context.order[2]}"' in line
+    ]
+    assert context.order[3] in _MAY_HAVE_RUN, (who, context.order, lines)
     assert not context.is_gone
+    is_passed = any(
+        '"pass_on"' in line and '"choice":"g2"' in line for line in lines
+    )
+    assert is_passed, ('the order was not passed on', lines)
 
 
 @then('the stream ends as a whole')
