--- a/cowsliprack/coordination/absent_models.py
+++ b/cowsliprack/coordination/absent_models.py
@@ -16,6 +16,8 @@
 # seconds: engines that crash are back with their disks after some seconds, and
 # a leader learns in its first seconds what the engines hold.
 _SETTLED_SECONDS = 5.0
+# Models that one line of the log names at most.
+_NAMES_A_LINE = 20
 # Value of ``ModelAbsence.loaded_in`` without a load.
 _NO_LOAD = -1.0
 
@@ -64,6 +66,29 @@
         }
 
 
+@dataclass(slots=True)
+class LoggedAbsences:
+    """Which absent models of one service the log has named.
+
+    :param models: absent models, as logged.
+    """
+
+    models: frozenset[str] = frozenset()
+
+    def update(
+        self, models: Iterable[str]
+    ) -> tuple[list[list[str]], list[list[str]]]:
+        """Return the models that have become absent, and those present again.
+
+        :param models: those that are absent now.
+        :returns: both by line of the log, in alphabetical order.
+        """
+        absent = frozenset(models)
+        news = _by_line(absent - self.models), _by_line(self.models - absent)
+        self.models = absent
+        return news
+
+
 @dataclass(slots=True)
 class AbsenceLedger:
     """What a leader has told of absent models, and at which sequence.
@@ -179,3 +204,11 @@
         """
         loaded_at = self.loaded_at_by_name.get((service, model), now)
         return max(loaded_at - now, 0)
+
+
+def _by_line(names: Iterable[str]) -> list[list[str]]:
+    in_order = sorted(names)
+    return [
+        in_order[first : first + _NAMES_A_LINE]
+        for first in range(0, len(in_order), _NAMES_A_LINE)
+    ]
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -1,6 +1,7 @@
 """One term of a region's leader: planning, views and token credit."""
 
 import math
+from collections import defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -9,10 +10,12 @@
 import msgspec
 import structlog
 
+from cowsliprack.coordination.absent_models import LoggedAbsences
 from cowsliprack.coordination.cold_loads import MissingWeights
 from cowsliprack.coordination.fleet_view import FleetView
 from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.lease import Lease
+from cowsliprack.coordination.model_scheduler import ModelScheduler
 from cowsliprack.coordination.notice_exchange import LeaderNotices
 from cowsliprack.coordination.region_state import Member, RegionState
 from cowsliprack.coordination.relayed_targets import registry_changes
@@ -136,6 +139,7 @@
         self._tasks = anyio.create_task_group()
         self._logged_missing_by_service: dict[str, MissingWeights] = {}
         self._missing_logged_at = -math.inf
+        self._logged_absences = defaultdict[str, LoggedAbsences](LoggedAbsences)
         self.state = RegionState(
             lease.fencing,
             context.instance_id,
@@ -273,6 +277,7 @@
             return
         self._missing_logged_at = now
         for service, scheduler in self.state.schedulers_by_service.items():
+            self._log_absences(service, scheduler)
             missing = scheduler.missing_weights(now)
             logged = self._logged_missing_by_service.get(service)
             if missing == logged:
@@ -292,6 +297,25 @@
                 lost_models=lost[:_MAX_LOGGED_NAMES],
             )
 
+    def _log_absences(self, service: str, scheduler: ModelScheduler) -> None:
+        absent, present = self._logged_absences[service].update(
+            scheduler.absent.loaded_at_by_model
+        )
+        for names in absent:
+            log_decision(
+                'models_absent',
+                names,
+                'no engine has had a copy for some seconds',
+                service=service,
+            )
+        for loaded in present:
+            log_decision(
+                'models_present',
+                loaded,
+                'an engine has a copy again',
+                service=service,
+            )
+
     def _send_views(self, *, to_all: bool) -> None:
         now = self._context.clock()
         left = self._lease.held_until() - now
--- a/tests/coordination/absent_models.feature
+++ b/tests/coordination/absent_models.feature
@@ -91,3 +91,9 @@
     Given an engine e3 is registered, with an order of an earlier leader
     When the leader plans for 2 seconds
     Then the leader tells of f: loaded in 4 seconds
+
+  Scenario: The log names all absent models, however many there are
+    When 45 models become absent
+    Then the log names 45 absent models in 3 lines, none twice
+    When one of them has a copy again
+    Then the log names it as present, and no other model
--- a/tests/steps/absent_models_steps.py
+++ b/tests/steps/absent_models_steps.py
@@ -5,7 +5,10 @@
 
 from behave import given, then, when
 
-from cowsliprack.coordination.absent_models import KnownAbsences
+from cowsliprack.coordination.absent_models import (
+    KnownAbsences,
+    LoggedAbsences,
+)
 from cowsliprack.coordination.model_scheduler import GroupDemand, ModelScheduler
 from cowsliprack.coordination.region_state import RegionState, finish_order
 from cowsliprack.protocol.gateway_messages import MemberReport
@@ -220,3 +223,29 @@
     context.known.apply(view.absences, context.now, is_full=not view.base)
     context.base = view.sequence
     return len(view.absences)
+
+
+@when('{count:d} models become absent')
+def when_become_absent(context, count):
+    context.logged = LoggedAbsences()
+    context.absent = [f'm{number}' for number in range(count)]
+    context.news = context.logged.update(context.absent)
+
+
+@then('the log names {count:d} absent models in {lines:d} lines, none twice')
+def then_named_absent(context, count, lines):
+    absent, present = context.news
+    assert sorted(name for line in absent for name in line) == sorted(
+        context.absent
+    )
+    assert (len(context.absent), len(absent), present) == (count, lines, [])
+
+
+@when('one of them has a copy again')
+def when_present(context):
+    context.news = context.logged.update(context.absent[1:])
+
+
+@then('the log names it as present, and no other model')
+def then_named_present(context):
+    assert context.news == ([], [['m0']]), context.news
