Count only loads that have begun when one from the weight store begins

Callers of rare models were refused because loads took longer than needed (SHORT). Cause: a load counted those that were assigned to an engine, but waited for room there. The first two so proved that four run on time. Change: the number at the start counts loads that have begun and lost ones. Test: model_scheduler.feature, 1 scenario, which failed before (2 and 2 loads).

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -104,6 +104,21 @@
     )
 
 
+def count_begun_loads(engines: Iterable[EngineState]) -> int:
+    """Return the number of running loads from the weight store.
+
+    Assigned loads that still wait for room do not count: the store does not
+    serve them yet. An order of an earlier leader counts.
+
+    :param engines: engines of one service.
+    """
+    return sum(
+        engine.has_unknown_order() or (bool(name) and engine.is_cold(name))
+        for engine in engines
+        for name in (engine.loading_model(),)
+    )
+
+
 def max_cold_loads(engines: int, served_requests: float, is_idle: bool) -> int:
     """Return how many engines may load from the weight store at once.
 
@@ -197,12 +212,19 @@
         }
 
     def count(self, engines: Iterable[EngineState]) -> int:
-        """Return how many loads the weight store serves.
+        """Return how many loads the weight store serves or will soon.
 
         :param engines: engines whose loads count, beside the lost ones.
         """
         return len(self.lost) + count_cold_loads(engines)
 
+    def count_begun(self, engines: Iterable[EngineState]) -> int:
+        """Return how many loads the weight store serves.
+
+        :param engines: engines whose loads count, beside the lost ones.
+        """
+        return len(self.lost) + count_begun_loads(engines)
+
 
 @dataclass(slots=True)
 class ColdLoadLimit:
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -448,7 +448,7 @@
             engine.assigned_model = ''
             if engine.is_cold(model):
                 self.cold_loads.starts.append(now)
-                engine.cold_loads_at_start = self._lost_loads.count(
+                engine.cold_loads_at_start = self._lost_loads.count_begun(
                     self.engines_by_id.values()
                 )
                 self._lost_loads.started_by_id[engine.target_id] = ColdLoad(
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -286,6 +286,12 @@
     And the scheduler plans for 1 second without demand
     Then 3 loads were ordered
 
+  Scenario: A load does not count those that still wait for room on their engine
+    Given engine e1 holds a, b and has a on disk
+    And engine e2 holds c, d and has c on disk
+    When the scheduler plans until both engines load from the weight store
+    Then the loads count 1 and 2 loads at their start
+
   Scenario: An order of an earlier leader counts as a load from the weight store
     Given engine e1 holds a
     And engine e2 holds b
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -366,6 +366,27 @@
     _end_concurrent_loads(context, (2, 2, 2, 2))
 
 
+@when('the scheduler plans until both engines load from the weight store')
+def when_planned_until_begun(context):
+    engines = context.scheduler.engines_by_id.values()
+    for _ in range(100):
+        context.now += 0.05
+        context.scheduler.plan([], context.now)
+        for engine in engines:
+            if engine.order and engine.order.kind is OrderKind.unload:
+                finish_order(engine, engine.order, context.now)
+    assert all(engine.loading_model() for engine in engines), engines
+
+
+@then('the loads count {first:d} and {second:d} loads at their start')
+def then_counted(context, first, second):
+    counts = sorted(
+        engine.cold_loads_at_start
+        for engine in context.scheduler.engines_by_id.values()
+    )
+    assert counts == [first, second], counts
+
+
 @given(
     'of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 '
     'took twice the expected time'
