Do not raise the limit of loads within 60 s after a load was slow

Cause: three loads on time raised the limit again, also right after the store had shown that it serves fewer at once. Class: probing without hysteresis. Change: the limit is not raised for 60 s after a slow load, nor in the first 60 s of a term that inherits it. A limit of one is raised at once as before, since one load at a time may use only half of the store. Two scenarios took a raise right after a slow load for right; they now let 61 s pass, with the same counts, and a new row says that nothing is raised after 10 s. Tests: model_scheduler.feature, 4 new scenarios, of which 2 failed before (after 10 s; inherited limit).

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -17,6 +17,9 @@
 # A load that exceeds its configured time by this factor indicates too many
 # concurrent loads.
 _SLOWDOWN_LIMIT = 1.25
+# Seconds for which the limit is not raised after a load was slow. Loads beyond
+# what the store serves at full speed end later and block engines for longer.
+_RAISE_PAUSE_SECONDS = 60.0
 # Slowdown of the longest load among as many as start before the speed of the
 # store is known, if it serves two at full speed.
 _LONGEST_SLOWDOWN = 2.0
@@ -240,12 +243,14 @@
         change.
     :param lowered_from: loads that began before this time do not lower the
         limit, seconds.
+    :param raised_from: the limit is not raised before this time, seconds.
     """
 
     starts: list[float] = field(default_factory=list)
     store_limit: int = _INITIAL_COLD_LOADS
     on_time: int = 0
     lowered_from: float = -math.inf
+    raised_from: float = -math.inf
     _is_inherited: bool = False
 
     def inherit(self, store_limit: int) -> None:
@@ -268,6 +273,7 @@
         if self._is_inherited:
             self._is_inherited = False
             self.lowered_from = now + cold_seconds * _LONGEST_SLOWDOWN
+            self.raised_from = now + _RAISE_PAUSE_SECONDS
 
     def may_start(self, loads_per_second: float, now: float) -> bool:
         """Return whether the rate of loads admits one more.
@@ -286,6 +292,7 @@
         at_start: int,
         at_end: int,
         slowdown: float,
+        now: float,
         started_at: float = math.inf,
     ) -> None:
         """Adjust the limit of the store after a load has ended.
@@ -296,6 +303,7 @@
         :param at_start: concurrent loads when it began, including itself.
         :param at_end: concurrent loads when it ended, including itself.
         :param slowdown: duration in multiples of the configured time.
+        :param now: seconds.
         :param started_at: when it began, seconds.
         """
         if slowdown > _SLOWDOWN_LIMIT:
@@ -304,8 +312,12 @@
             most = max(at_start, at_end)
             self.store_limit = max(1, round(most / slowdown))
             self.on_time = 0
+            self.raised_from = now + _RAISE_PAUSE_SECONDS
             return
         self.on_time += at_start >= self.store_limit
-        if self.on_time > self.store_limit:
+        # One load at a time may use only half of the store, so a limit of one
+        # is raised at once.
+        may_raise = now >= self.raised_from or self.store_limit == 1
+        if self.on_time > self.store_limit and may_raise:
             self.store_limit += 1
             self.on_time = 0
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -246,13 +246,18 @@
         )
 
     def end_cold_load(
-        self, engine: EngineState, model: ModelSpec, seconds: float
+        self,
+        engine: EngineState,
+        model: ModelSpec,
+        seconds: float,
+        now: float,
     ) -> None:
         """Adapt the concurrency limit for loads from the weight store.
 
         :param engine: the engine that has loaded the model.
         :param model: the model.
         :param seconds: duration of the load.
+        :param now: seconds.
         """
         others = self._lost_loads.count(
             other
@@ -263,6 +268,7 @@
             engine.cold_loads_at_start,
             others + 1,
             seconds / model.cold_seconds,
+            now,
             self._lost_loads.started_at(engine.target_id),
         )
 
--- a/cowsliprack/transport/order_executor.py
+++ b/cowsliprack/transport/order_executor.py
@@ -290,7 +290,8 @@
             await self._wait_until_idle(engine)
             if not self.is_current(engine):
                 return
-            took = self.clock() - began_at
+            now = self.clock()
+            took = now - began_at
             log_decision(
                 'cold_load_ended',
                 name,
@@ -302,7 +303,7 @@
                 cold_loads_at_start=engine.cold_loads_at_start,
                 limit=scheduler.cold_loads.store_limit,
             )
-            scheduler.end_cold_load(engine, model, took)
+            scheduler.end_cold_load(engine, model, took, now)
 
     async def _wait_until_idle(self, engine: EngineState) -> None:
         while self.is_current(engine):
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -273,6 +273,7 @@
   Scenario: Loads on time raise the limit step by step
     Given 56 empty engines
     And of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 took twice the expected time
+    And the scheduler has idled for 61 seconds
     And 2 loads at the limit ended on time
     When the scheduler plans for 1 second without demand
     And the scheduler plans for 1 second without demand
@@ -281,6 +282,7 @@
   Scenario: Loads on time raise the limit after a while
     Given 56 empty engines
     And of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 took twice the expected time
+    And the scheduler has idled for 61 seconds
     And 3 loads at the limit ended on time
     When the scheduler plans for 1 second without demand
     And the scheduler plans for 1 second without demand
@@ -292,6 +294,30 @@
     When the scheduler plans until both engines load from the weight store
     Then the loads count 1 and 2 loads at their start
 
+  Scenario Outline: The limit after a slow load and 3 on time: <seconds> seconds later
+    Given 56 empty engines
+    And of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 took twice the expected time
+    When the scheduler idles for <seconds> seconds
+    And 3 loads at the limit end on time
+    Then the limit is <limit> loads
+
+    Examples:
+      | seconds | limit |
+      | 10      | 2     |
+      | 61      | 3     |
+
+  Scenario: A limit of one load is raised at once
+    Given 56 empty engines
+    And 4 concurrent loads from the weight store took 4 times the expected time
+    When 2 loads at the limit end on time
+    Then the limit is 2 loads
+
+  Scenario: A new leader does not raise the limit of the last one at once
+    Given 56 empty engines
+    And a leader that has learned from an earlier one that 2 loads run at full speed
+    When 3 loads at the limit end on time
+    Then the limit is 2 loads
+
   Scenario: An order of an earlier leader counts as a load from the weight store
     Given engine e1 holds a
     And engine e2 holds b
--- a/tools/bench/rotation_replay.py
+++ b/tools/bench/rotation_replay.py
@@ -529,7 +529,7 @@
         began_at = self._cold_started_by_id.pop(engine.target_id, None)
         if began_at is not None:
             model = self.scheduler.spec.models_by_name[order.model]
-            self.scheduler.end_cold_load(engine, model, now - began_at)
+            self.scheduler.end_cold_load(engine, model, now - began_at, now)
         disk = self._disk_by_id[engine.target_id]
         if order.model in disk:
             disk.remove(order.model)
