Lower the limit of loads as soon as running loads are overdue

Cause: the limit fell only when a slow load had ended. Class: evidence is used only when it is complete. Change: when loads of one batch have not ended 10% after their configured time, the store serves fewer than the batch; between that time and the configured time no other load begins. Loads alone, and on engines that do not answer, prove nothing.

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -17,6 +18,11 @@
 # A load that exceeds its configured time by this factor indicates too many
 # concurrent loads.
 _SLOWDOWN_LIMIT = 1.25
+# A running load that exceeds its configured time by this factor is overdue; the
+# order and the poll for its end take up to 3% of it.
+_OVERDUE_SLOWDOWN = 1.1
+# Seconds within which loads that begin may reach the store in another order.
+_SAME_START_SECONDS = 0.25
 # Seconds for which the limit is not raised after a load was slow. Loads beyond
 # what the store serves at full speed end later and block engines for longer.
 _RAISE_PAUSE_SECONDS = 60.0
@@ -135,6 +141,17 @@
     return share
 
 
+@dataclass(slots=True, eq=False)
+class LoadBatch:
+    """Loads from the weight store that began at about the same time.
+
+    :param most: concurrent loads when the last of them began, including that
+        one.
+    """
+
+    most: int = 1
+
+
 @dataclass(frozen=True, slots=True)
 class ColdLoad:
     """A load from the weight store that an engine has begun.
@@ -149,6 +166,7 @@
     started_at: float
     at_start: int
     stated_seconds: float
+    batch: LoadBatch = field(default_factory=LoadBatch)
 
     def ends_at(self, full_speed_loads: int) -> float:
         """Return when the load is expected to end, seconds.
@@ -172,6 +190,27 @@
 
     started_by_id: dict[str, ColdLoad] = field(default_factory=dict)
     lost: list[ColdLoad] = field(default_factory=list)
+    _last: ColdLoad | None = None
+
+    def begin(
+        self,
+        engine: EngineState,
+        model: str,
+        at_start: int,
+        stated_seconds: float,
+        now: float,
+    ) -> None:
+        """Record that an engine begins a load; see ``ColdLoad``."""
+        last = self._last
+        is_together = (
+            last is not None and now - last.started_at < _SAME_START_SECONDS
+        )
+        batch = last.batch if last and is_together else LoadBatch()
+        batch.most = max(batch.most, at_start)
+        self._last = ColdLoad(
+            engine, model, now, at_start, stated_seconds, batch
+        )
+        self.started_by_id[engine.target_id] = self._last
 
     def update(
         self,
@@ -204,6 +243,14 @@
         load = self.started_by_id.get(target_id)
         return load.started_at if load else math.inf
 
+    def most_at_start(self, engine: EngineState) -> int:
+        """Return the concurrent loads when those with a load had begun.
+
+        :param engine: the loading engine.
+        """
+        load = self.started_by_id.get(engine.target_id)
+        return load.batch.most if load else engine.cold_loads_at_start
+
     def expected_ends(self, full_speed_loads: int) -> dict[str, float]:
         """Return when the loads under way are expected to end, by model.
 
@@ -214,6 +261,14 @@
             for load in self.started_by_id.values()
         }
 
+    def answering(self) -> list[ColdLoad]:
+        """Return the running loads on engines that answer."""
+        return [
+            load
+            for load in self.started_by_id.values()
+            if load.engine.is_usable() and not load.engine.suspected
+        ]
+
     def count(self, engines: Iterable[EngineState]) -> int:
         """Return how many loads the weight store serves or will soon.
 
@@ -252,6 +307,7 @@
     lowered_from: float = -math.inf
     raised_from: float = -math.inf
     _is_inherited: bool = False
+    _is_awaiting_end: bool = False
 
     def inherit(self, store_limit: int) -> None:
         """Begin with the limit that an earlier leader has learned.
@@ -275,12 +331,41 @@
             self.lowered_from = now + cold_seconds * _LONGEST_SLOWDOWN
             self.raised_from = now + _RAISE_PAUSE_SECONDS
 
+    def check_running(self, loads: Iterable[ColdLoad], now: float) -> None:
+        """Lower the limit as soon as running loads show that it is too high.
+
+        Of loads that began together, those that have not ended at their
+        configured time began beside more than the store serves at full speed.
+
+        :param loads: running loads on engines that answer.
+        :param now: seconds.
+        """
+        self._is_awaiting_end = False
+        overdue: Counter[LoadBatch] = Counter()
+        for load in loads:
+            slowdown = (now - load.started_at) / load.stated_seconds
+            is_alone = load.batch.most == 1
+            if slowdown <= 1 or is_alone or load.started_at < self.lowered_from:
+                continue
+            overdue[load.batch] += slowdown > _OVERDUE_SLOWDOWN
+            self._is_awaiting_end |= (
+                slowdown <= _OVERDUE_SLOWDOWN
+                and load.batch.most <= self.store_limit
+            )
+        for batch, count in overdue.items():
+            self._lower(batch.most - count, now)
+
     def may_start(self, loads_per_second: float, now: float) -> bool:
-        """Return whether the rate of loads admits one more.
+        """Return whether one more load may begin.
+
+        None begins while a running load is about to show that the limit is too
+        high.
 
         :param loads_per_second: limit for all engines together.
         :param now: seconds.
         """
+        if self._is_awaiting_end:
+            return False
         since = now - _RATE_WINDOW_SECONDS
         self.starts = [
             started_at for started_at in self.starts if started_at > since
@@ -307,12 +392,9 @@
         :param started_at: when it began, seconds.
         """
         if slowdown > _SLOWDOWN_LIMIT:
-            if started_at < self.lowered_from:
-                return
-            most = max(at_start, at_end)
-            self.store_limit = max(1, round(most / slowdown))
-            self.on_time = 0
-            self.raised_from = now + _RAISE_PAUSE_SECONDS
+            if started_at >= self.lowered_from:
+                most = max(at_start, at_end)
+                self._lower(round(most / slowdown), now)
             return
         self.on_time += at_start >= self.store_limit
         # One load at a time may use only half of the store, so a limit of one
@@ -321,3 +403,9 @@
         if self.on_time > self.store_limit and may_raise:
             self.store_limit += 1
             self.on_time = 0
+
+    def _lower(self, most: int, now: float) -> None:
+        self.raised_from = now + _RAISE_PAUSE_SECONDS
+        if most < self.store_limit:
+            self.store_limit = max(1, most)
+            self.on_time = 0
