Tell callers when a model that lies on no engine is due in its turn

Change: the leader reckons when each absent model can be loaded, from the running loads, the limit and the order of turns, and tells members (LeaderView.loads_due, message level 2, nothing to builds of a lower level). A change is told when it exceeds 3 s. Retry-After names that time, 60 s at most.

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -261,6 +261,16 @@
             for load in self.started_by_id.values()
         }
 
+    def running_ends(self, full_speed_loads: int) -> list[float]:
+        """Return when all loads that the store serves are expected to end.
+
+        :param full_speed_loads: see ``ColdLoad``.
+        """
+        return [
+            load.ends_at(full_speed_loads)
+            for load in (*self.started_by_id.values(), *self.lost)
+        ]
+
     def answering(self) -> list[ColdLoad]:
         """Return the running loads on engines that answer."""
         return [
--- a/cowsliprack/coordination/fleet_view.py
+++ b/cowsliprack/coordination/fleet_view.py
@@ -8,6 +8,7 @@
 
 from cowsliprack.coordination.absent_models import KnownAbsences
 from cowsliprack.coordination.freshness import Freshness
+from cowsliprack.coordination.load_queue import KnownLoadsDue
 from cowsliprack.protocol.gateway_messages import EngineView
 from cowsliprack.state.target_registry import TargetRecord, TargetRegistry
 
@@ -26,12 +27,14 @@
 
     :param updated_at: time of the leader's last view, seconds.
     :param absences: models that lie on no engine.
+    :param loads_due: when loads of such models that have not begun are due.
     """
 
     registry: TargetRegistry = field(default_factory=TargetRegistry)
     views_by_id: dict[str, EngineView] = field(default_factory=dict)
     updated_at: float = float('-inf')
     absences: KnownAbsences = field(default_factory=KnownAbsences)
+    loads_due: KnownLoadsDue = field(default_factory=KnownLoadsDue)
     _rejected: set[tuple[str, str, str]] = field(default_factory=set)
 
     def apply_view(
--- /dev/null
+++ b/cowsliprack/coordination/load_queue.py
@@ -0,0 +1,139 @@
+"""When models that lie on no engine are expected to be loaded, in their turn.
+
+The weight store serves a few loads at a time, so a model waits for those before
+it. Callers of rejected requests are told when their model is expected.
+"""
+
+import heapq
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from cowsliprack.protocol.gateway_messages import LoadDue
+
+# Seconds by which an expectation must change to be told again. Each change goes
+# to all members, and callers come back some seconds late or early anyway.
+_TOLERANCE_SECONDS = 3.0
+
+
+def expected_ends(
+    queue: Iterable[str],
+    seconds_by_model: Mapping[str, float],
+    running_ends: Iterable[float],
+    concurrent_loads: int,
+    now: float,
+) -> dict[str, float]:
+    """Return when the loads of waiting models are expected to end, seconds.
+
+    :param queue: models in the order of their loads.
+    :param seconds_by_model: time of a load at full speed.
+    :param running_ends: when the running loads are expected to end, seconds.
+    :param concurrent_loads: loads that the store serves at full speed.
+    :param now: seconds.
+    """
+    ends = [max(end, now) for end in running_ends]
+    free = [now for _ in range(concurrent_loads - len(ends))]
+    # Of more running loads than the store serves, the last to end free it.
+    slots = heapq.nlargest(concurrent_loads, ends) + free
+    heapq.heapify(slots)
+    expected = {}
+    for model in queue:
+        expected[model] = slots[0] + seconds_by_model[model]
+        heapq.heapreplace(slots, expected[model])
+    return expected
+
+
+@dataclass(slots=True)
+class LoadsDueLedger:
+    """What a leader has told of loads that have not begun.
+
+    :param due_at_by_name: by service and model, seconds.
+    :param changed_by_name: sequence of the view that told the last change.
+    """
+
+    due_at_by_name: dict[tuple[str, str], float] = field(default_factory=dict)
+    changed_by_name: dict[tuple[str, str], int] = field(default_factory=dict)
+
+    def update(
+        self, due_at_by_name: Mapping[tuple[str, str], float], sequence: int
+    ) -> bool:
+        """Apply new expectations; return whether any must be told.
+
+        :param due_at_by_name: see the class.
+        :param sequence: of the next view.
+        """
+        known = self.due_at_by_name
+        changed = [
+            name
+            for name in known.keys() | due_at_by_name.keys()
+            if _differ(known.get(name), due_at_by_name.get(name))
+        ]
+        self.changed_by_name.update(dict.fromkeys(changed, sequence))
+        unchanged = known.keys() - set(changed)
+        self.due_at_by_name = {
+            name: known[name] if name in unchanged else due_at
+            for name, due_at in due_at_by_name.items()
+        }
+        return bool(changed)
+
+    def changes_since(self, base: int, now: float) -> tuple[LoadDue, ...]:
+        """Return the changes for a member, for a message.
+
+        :param base: sequence of the last view that it has applied.
+        :param now: seconds.
+        """
+        return tuple(
+            self._due(name, now)
+            for name, changed in self.changed_by_name.items()
+            if changed > base
+        )
+
+    def _due(self, name: tuple[str, str], now: float) -> LoadDue:
+        due_at = self.due_at_by_name.get(name)
+        if due_at is None:
+            return LoadDue(*name)
+        return LoadDue(*name, due_in=max(due_at - now, 0))
+
+
+@dataclass(slots=True)
+class KnownLoadsDue:
+    """Loads that have not begun, as the leader has told a member.
+
+    :param due_at_by_name: by service and model, seconds.
+    """
+
+    due_at_by_name: dict[tuple[str, str], float] = field(default_factory=dict)
+
+    def apply(
+        self, loads_due: Iterable[LoadDue], now: float, *, is_full: bool
+    ) -> None:
+        """Apply the loads of a view.
+
+        :param loads_due: new or changed ones, all of them in a full view.
+        :param now: seconds.
+        :param is_full: replaces all earlier ones.
+        """
+        if is_full:
+            self.due_at_by_name.clear()
+        for load in loads_due:
+            name = (load.service, load.model)
+            self.due_at_by_name.pop(name, None)
+            if load.due_in >= 0:
+                self.due_at_by_name[name] = now + load.due_in
+
+    def seconds_until_due(self, service: str, model: str, now: float) -> float:
+        """Return when a load that has not begun is expected to end.
+
+        :param service: its service.
+        :param model: its name.
+        :param now: seconds.
+        :returns: 0 if that is unknown.
+        """
+        due_at = self.due_at_by_name.get((service, model), now)
+        return max(due_at - now, 0)
+
+
+def _differ(known: float | None, due_at: float | None) -> bool:
+    if known is None or due_at is None:
+        return known is not due_at
+    return not math.isclose(known, due_at, abs_tol=_TOLERANCE_SECONDS)
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -24,6 +24,7 @@
 )
 from cowsliprack.coordination.demand_rates import DemandRates
 from cowsliprack.coordination.engine_index import EngineIndex, index_engines
+from cowsliprack.coordination.load_queue import expected_ends
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder, EngineState
 from cowsliprack.state.routing_table import EngineSpec, ModelSpec
@@ -212,13 +213,6 @@
             if engine.is_usable() and engine.offers(model)
         ]
 
-    def running(self, model: str) -> int:
-        """Return the number of running requests for a model on all engines.
-
-        :param model: its name.
-        """
-        return self._index.running_by_model[model]
-
     def load_seconds(self, engine: EngineState, model: ModelSpec) -> float:
         """Return how long an engine takes to load a model.
 
@@ -250,6 +244,37 @@
             frozenset(missing),
         )
 
+    def loads_due(self, now: float) -> dict[str, float]:
+        """Return when the absent models without a load can be loaded.
+
+        :param now: seconds.
+        :returns: expected end by model, seconds. Those that requests wait for
+            come first, the one that has been missing for longest before others.
+        """
+        waiting_since = self._missing.since_by_model
+        queue = sorted(
+            (
+                name
+                for name, ends_at in self.absent.loaded_at_by_model.items()
+                if math.isinf(ends_at)
+            ),
+            key=lambda name: waiting_since.get(name, math.inf),
+        )
+        store_limit = self.cold_loads.store_limit
+        return expected_ends(
+            queue,
+            {
+                name: self.spec.models_by_name[name].cold_seconds
+                for name in queue
+            },
+            [
+                *self._lost_loads.running_ends(store_limit),
+                *self.earlier_loads.values(),
+            ],
+            store_limit,
+            now,
+        )
+
     def end_cold_load(
         self,
         engine: EngineState,
@@ -375,7 +400,9 @@
             # the eviction.
             excess = min(loads, default=0) - threshold
             if excess > 0:
-                benefit = min(excess * len(loads), self.running(model))
+                benefit = min(
+                    excess * len(loads), self._index.running_by_model[model]
+                )
                 candidates.append(_LoadCandidate(model, benefit=benefit))
         return candidates
 
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from cowsliprack.coordination.absent_models import AbsenceLedger
+from cowsliprack.coordination.load_queue import LoadsDueLedger
 from cowsliprack.coordination.model_scheduler import GroupDemand, ModelScheduler
 from cowsliprack.coordination.target_limits import (
     AVOIDED_SECONDS,
@@ -19,12 +20,17 @@
 from cowsliprack.protocol.gateway_messages import (
     EngineView,
     LeaderView,
+    LoadDue,
     MemberReport,
     ModelAbsence,
     PeerView,
     WaitingGroup,
 )
-from cowsliprack.protocol.message_level import ABSENCES_LEVEL, message_level
+from cowsliprack.protocol.message_level import (
+    ABSENCES_LEVEL,
+    LOADS_DUE_LEVEL,
+    message_level,
+)
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder, EngineState
 from cowsliprack.state.routing_table import RoutingTable
@@ -112,6 +118,7 @@
     _changed_by_id: dict[str, int] = field(default_factory=dict)
     _gone_by_id: dict[str, int] = field(default_factory=dict)
     _absences: AbsenceLedger = field(default_factory=AbsenceLedger)
+    _loads_due: LoadsDueLedger = field(default_factory=LoadsDueLedger)
     _limit_reports: list[ReportedUses] = field(default_factory=list)
     _peers: tuple[PeerView, ...] = ()
     _peers_digest: int = 0
@@ -287,9 +294,10 @@
             self._gone_by_id[target_id] = self.sequence
         return True
 
-    def refresh_absences(self) -> bool:
+    def refresh_absences(self, now: float) -> bool:
         """Update the models that lie on no engine, as of the last plan.
 
+        :param now: seconds.
         :returns: whether any has changed.
         """
         loaded_at_by_name = {
@@ -297,9 +305,19 @@
             for service, scheduler in self.schedulers_by_service.items()
             for model, loaded_at in scheduler.absent.loaded_at_by_model.items()
         }
-        if not self._absences.update(loaded_at_by_name, self.sequence + 1):
+        due_at_by_name = {
+            (service, model): due_at
+            for service, scheduler in self.schedulers_by_service.items()
+            for model, due_at in scheduler.loads_due(now).items()
+        }
+        sequence = self.sequence + 1
+        changes = (
+            self._absences.update(loaded_at_by_name, sequence),
+            self._loads_due.update(due_at_by_name, sequence),
+        )
+        if not any(changes):
             return False
-        self.sequence += 1
+        self.sequence = sequence
         return True
 
     def view_for(self, member: Member, now: float) -> LeaderView:
@@ -314,9 +332,13 @@
         stamp = member.stamp
         member.stamp = 0
         digest = self._peers_digest
+        level = message_level(report.boot)
         absences: tuple[ModelAbsence, ...] = ()
-        if message_level(report.boot) >= ABSENCES_LEVEL:
+        if level >= ABSENCES_LEVEL:
             absences = self._absences.changes_since(base, now)
+        loads_due: tuple[LoadDue, ...] = ()
+        if level >= LOADS_DUE_LEVEL:
+            loads_due = self._loads_due.changes_since(base, now)
         return LeaderView(
             fencing=self.fencing,
             sequence=self.sequence,
@@ -339,6 +361,7 @@
             peers=() if report.peers_digest == digest else self._peers,
             peers_digest=digest,
             absences=absences,
+            loads_due=loads_due,
         )
 
     def apply_limits(self, now: float) -> None:
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -143,6 +143,18 @@
     loaded_in: float = -1
 
 
+class LoadDue(msgspec.Struct, frozen=True, array_like=True):
+    """When a model that lies on no engine can be loaded in its turn.
+
+    :param due_in: seconds until a load that has not begun is expected to end;
+        negative if the model needs none any more.
+    """
+
+    service: str
+    model: str
+    due_in: float = -1
+
+
 class TargetView(msgspec.Struct, frozen=True, array_like=True):
     """A registered target, as the leader read it from the store.
 
@@ -221,6 +233,8 @@
         serves at full speed, as far as the leader knows.
     :param absences: models that lie on no engine, or do so no longer, changed
         since ``base``; only for members of message level 1 or higher.
+    :param loads_due: loads of such models that have not begun, changed since
+        ``base``; only for members of message level 2 or higher.
     """
 
     fencing: int
@@ -247,6 +261,7 @@
     version_ages: dict[str, dict[str, float]] = {}
     store_limits: dict[str, int] = {}
     absences: tuple[ModelAbsence, ...] = ()
+    loads_due: tuple[LoadDue, ...] = ()
 
 
 class CreditAsk(PeerMessage, frozen=True):
--- a/cowsliprack/protocol/message_level.py
+++ b/cowsliprack/protocol/message_level.py
@@ -8,9 +8,11 @@
 import uuid
 
 # Raised with each message or field that earlier builds do not know:
-# 1: models that lie on no engine, in the views of a leader.
-MESSAGE_LEVEL = 1
+# 1: models that lie on no engine, in the views of a leader;
+# 2: when loads of such models that have not begun are due.
+MESSAGE_LEVEL = 2
 ABSENCES_LEVEL = 1
+LOADS_DUE_LEVEL = 2
 _SEPARATOR = '.'
 _ID_LENGTH = 12
 
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -392,6 +392,9 @@
         self.context.fleet.absences.apply(
             view.absences, now, is_full=not view.base
         )
+        self.context.fleet.loads_due.apply(
+            view.loads_due, now, is_full=not view.base
+        )
         if not view.base:
             # Until a report acknowledges it, each view is a full one.
             self._report_due.set()
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -267,7 +267,7 @@
         self._leader_credit.limit(list(organisations), instances, now)
         has_new_peers = self.state.refresh_peers(now)
         has_new_views = self.state.refresh_views(now)
-        has_new_absences = self.state.refresh_absences()
+        has_new_absences = self.state.refresh_absences(now)
         self._send_views(
             to_all=has_new_views or has_new_peers or has_new_absences
         )
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -29,6 +29,9 @@
 _RECHECK_SECONDS = 0.25
 # Shortest pause of a request that waits for its turn at a target with a limit.
 _MIN_RECHECK_SECONDS = 0.01
+# Longest Retry-After for a model whose load has not begun, since the order of
+# loads may change.
+_MAX_LOAD_RETRY_SECONDS = 60.0
 # Time until the leader has planned a load for a request and its end is known.
 _PLAN_SECONDS = 0.2
 # Longest Retry-After for targets at their limit; a limit may end at any time.
@@ -174,14 +177,17 @@
     ) -> None:
         """Reject a request whose model lies on no engine and comes too late.
 
-        A load that has not begun takes at least the configured time.
+        A load that has not begun takes at least the configured time. The caller
+        is told when the model is expected in its turn.
         """
         metadata = request.metadata
         seconds = self.fleet.seconds_until_loaded(
             request.service, metadata.model, now
         )
+        seconds_until_due = seconds
         if math.isinf(seconds):
             seconds = self._cold_seconds(request)
+            seconds_until_due = self._seconds_until_due(request, seconds, now)
         if seconds <= waiter.gives_up_at - now:
             return
         self.waiting_requests.expect_return(
@@ -191,9 +197,18 @@
         raise ServingError(
             ErrorKind.cold_start_unavailable,
             'the model lies on no engine and is not loaded in time',
-            retry_after=seconds,
+            retry_after=seconds_until_due,
         )
 
+    def _seconds_until_due(
+        self, request: RoutedRequest, cold_seconds: float, now: float
+    ) -> float:
+        """Return when a load that has not begun is expected to end."""
+        due_in = self.fleet.loads_due.seconds_until_due(
+            request.service, request.metadata.model, now
+        )
+        return min(max(due_in, cold_seconds), _MAX_LOAD_RETRY_SECONDS)
+
     def _cold_seconds(self, request: RoutedRequest) -> float:
         service = self.table().services_by_name.get(request.service)
         engine = service and service.engine
--- a/tests/steps/absent_models_steps.py
+++ b/tests/steps/absent_models_steps.py
@@ -75,7 +75,7 @@
 
 def _plan(context, groups=()):
     context.scheduler.plan(groups, context.now)
-    context.state.refresh_absences()
+    context.state.refresh_absences(context.now)
 
 
 @when('the leader plans for {seconds:d} seconds')
--- a/tests/steps/target_finder_steps.py
+++ b/tests/steps/target_finder_steps.py
@@ -12,7 +12,7 @@
 from cowsliprack.coordination.waiting_requests import WaitingRequests
 from cowsliprack.exceptions import ErrorKind, Ran, ServingError
 from cowsliprack.protocol.dialect import RequestMetadata
-from cowsliprack.protocol.gateway_messages import ModelAbsence
+from cowsliprack.protocol.gateway_messages import LoadDue, ModelAbsence
 from cowsliprack.state.target_registry import LoadedModel, TargetState
 from cowsliprack.transport.target_finder import TargetFinder
 from tests.support.routed import TABLE, routed_request, target_record
@@ -149,6 +149,7 @@
     context.records = [_engine('e1', 'm0')]
     context.rates_by_id = {'e1': rate}
     context.absences = ()
+    context.loads_due = ()
 
 
 def _engine(target_id, *models):
@@ -196,6 +197,7 @@
     if context.absences:
         fleet.updated_at = now - context.view_age
         fleet.absences.apply(context.absences, now, is_full=True)
+        fleet.loads_due.apply(context.loads_due, now, is_full=True)
     selector = TargetSelector('z')
     for target_id, rate in context.rates_by_id.items():
         selector.limits.record_answer(target_id, rate, now)
@@ -320,6 +322,7 @@
 
 @given('an engine without m0, and a leader that says of m0: {absence}')
 def given_absent(context, absence):
+    context.loads_due = ()
     context.records = [_engine('e1', 'm1')]
     context.rates_by_id = {}
     loaded_in = re.search(r'in (\d+) seconds', absence)
@@ -334,6 +337,11 @@
     )
 
 
+@given('the load of m0 is due in {seconds:d} seconds')
+def given_due(context, seconds):
+    context.loads_due = (LoadDue('llm', 'm0', due_in=seconds),)
+
+
 @given('its last view is {age:g} seconds old')
 def given_view_age(context, age):
     context.view_age = age
--- a/tests/transport/target_finder.feature
+++ b/tests/transport/target_finder.feature
@@ -83,6 +83,19 @@
       | another model is absent    | nothing             | 0   | 0.1      | waits                                     |
       | the leader is silent       | no load             | 6   | 0.1      | waits                                     |
 
+  Scenario Outline: A request for a model whose load has not begun: <case>
+    Given an engine without m0, and a leader that says of m0: no load
+    And the load of m0 is due in <due> seconds
+    And its last view is <age> seconds old
+    When a request for m0 that can wait 0.1 seconds looks for it
+    Then it is to come back in <seconds> s
+
+    Examples:
+      | case                     | due | age | seconds |
+      | in its turn              | 30  | 0   | 30      |
+      | a load takes 0.2 s       | 0   | 0   | 0.2     |
+      | the order may change     | 200 | 0   | 60      |
+
   Scenario: The leader learns of requests for absent models until they come back
     Given an engine without m0, and a leader that says of m0: loaded in 4 seconds
     And its last view is 0 seconds old
