Count a load from the moment at which its engine accepted the order

Cause: a load began, for the overdue check and for the time told to members, when it was ordered. Class: the time of the request taken for the time of the event. Change: the time at which the engine accepted the order counts; a load that is not known to be accepted proves nothing. The two ways of counting loads share one definition.

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -107,9 +107,8 @@
     :param engines: engines of one service.
     """
     return sum(
-        engine.has_unknown_order() or (bool(name) and engine.is_cold(name))
+        _is_cold_load(engine, engine.assigned_model or engine.loading_model())
         for engine in engines
-        for name in (engine.assigned_model or engine.loading_model(),)
     )
 
 
@@ -122,12 +121,14 @@
     :param engines: engines of one service.
     """
     return sum(
-        engine.has_unknown_order() or (bool(name) and engine.is_cold(name))
-        for engine in engines
-        for name in (engine.loading_model(),)
+        _is_cold_load(engine, engine.loading_model()) for engine in engines
     )
 
 
+def _is_cold_load(engine: EngineState, model: str) -> bool:
+    return engine.has_unknown_order() or bool(model) and engine.is_cold(model)
+
+
 def max_cold_loads(engines: int, served_requests: float, is_idle: bool) -> int:
     """Return how many engines may load from the weight store at once.
 
@@ -157,7 +158,8 @@
     """A load from the weight store that an engine has begun.
 
     :param engine: state of the engine since its last start.
-    :param at_start: concurrent loads when it began, including itself.
+    :param started_at: when it was ordered, seconds.
+    :param at_start: concurrent loads at that time, including itself.
     :param stated_seconds: its time at full speed.
     """
 
@@ -175,7 +177,10 @@
             speed.
         """
         slowdown = max(1, self.at_start / full_speed_loads)
-        return self.started_at + self.stated_seconds * slowdown
+        # Until the engine has accepted the order, it may have begun at once.
+        accepted_at = self.engine.order_accepted_at
+        began_at = self.started_at if math.isinf(accepted_at) else accepted_at
+        return began_at + self.stated_seconds * slowdown
 
 
 @dataclass(slots=True)
@@ -353,7 +358,9 @@
         self._is_awaiting_end = False
         overdue: Counter[LoadBatch] = Counter()
         for load in loads:
-            slowdown = (now - load.started_at) / load.stated_seconds
+            # Negative until the engine has accepted the order.
+            seconds = now - load.engine.order_accepted_at
+            slowdown = seconds / load.stated_seconds
             is_alone = load.batch.most == 1
             if slowdown <= 1 or is_alone or load.started_at < self.lowered_from:
                 continue
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -484,6 +484,7 @@
     ) -> EngineOrder:
         order = EngineOrder(engine.target_id, kind, model)
         engine.order = order
+        engine.order_accepted_at = math.inf
         if kind is OrderKind.load:
             engine.assigned_model = ''
             if engine.is_cold(model):
--- a/cowsliprack/state/engine_state.py
+++ b/cowsliprack/state/engine_state.py
@@ -1,5 +1,6 @@
 """State of one model engine as seen by the leader of its region."""
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -35,6 +36,8 @@
     :param probed_at: time of the last probe, seconds.
     :param order_count: number of orders that the engine has accepted.
     :param order: order in progress; an engine carries out one at a time.
+    :param order_accepted_at: when the engine accepted that order, seconds;
+        ``inf`` until that is known.
     :param order_attempts: number of times that the order was sent.
     :param cold_loads_at_start: concurrent loads from the weight store when its
         last one began, including that one.
@@ -61,6 +64,7 @@
     probed_at: float = float('-inf')
     order_count: int = 0
     order: EngineOrder | None = None
+    order_accepted_at: float = math.inf
     order_attempts: int = 0
     cold_loads_at_start: int = 1
     assigned_model: str = ''
--- a/cowsliprack/transport/order_executor.py
+++ b/cowsliprack/transport/order_executor.py
@@ -150,6 +150,7 @@
         )
         if answer is OrderAnswer.accepted:
             engine.order_count += 1
+            engine.order_accepted_at = self.clock()
             await self._wait_for_end(engine, order)
         if answer in {OrderAnswer.accepted, OrderAnswer.holds}:
             finish_order(engine, order, self.clock())
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -314,6 +314,21 @@
     And the scheduler plans 0.8 seconds later
     Then the limit is 2 loads
 
+  Scenario Outline: A load that was ordered with 3 others, <case>
+    Given 56 empty engines
+    And a weight store that admits 2 loads a second
+    And 4 loads from the weight store have begun together
+    And <case>
+    When the first 3 of them have ended on time
+    And the scheduler plans 0.8 seconds later
+    Then the limit is <limit> loads
+
+    Examples:
+      | case                                                       | limit |
+      | the last of them has been accepted 0 seconds late          | 3     |
+      | the last of them has been accepted 2 seconds late          | 4     |
+      | it is not known whether the last of them has been accepted | 4     |
+
   Scenario: A load on an engine that does not answer leaves the limit unchanged
     Given 56 empty engines
     And a weight store that admits 2 loads a second
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -1,5 +1,6 @@
 """Steps for the scheduling of models on engines."""
 
+import math
 import re
 from collections import Counter
 from dataclasses import replace
@@ -424,6 +425,23 @@
     context.orders = scheduler.plan(context.groups, context.now)
     assert len(context.orders) == 4, context.orders
     context.groups = []
+    for order in context.orders:
+        engine = scheduler.engines_by_id[order.target_id]
+        engine.order_accepted_at = context.now
+
+
+@given('the last of them has been accepted {seconds:g} seconds late')
+def given_late_acceptance(context, seconds):
+    target_id = context.orders[-1].target_id
+    engine = context.scheduler.engines_by_id[target_id]
+    engine.order_accepted_at = context.now + seconds
+
+
+@given('it is not known whether the last of them has been accepted')
+def given_unknown_acceptance(context):
+    target_id = context.orders[-1].target_id
+    engine = context.scheduler.engines_by_id[target_id]
+    engine.order_accepted_at = math.inf
 
 
 @when('2 of them have ended on time')
@@ -431,6 +449,11 @@
     _end_on_time(context, context.orders[:2])
 
 
+@when('the first 3 of them have ended on time')
+def when_three_ended(context):
+    _end_on_time(context, context.orders[:3])
+
+
 @when('the last 2 of them have ended on time')
 def when_last_two_ended(context):
     _end_on_time(context, context.orders[2:])
--- a/tools/bench/rotation_replay.py
+++ b/tools/bench/rotation_replay.py
@@ -562,6 +562,7 @@
         if engine.is_cold(order.model):
             self.orders_by_kind['cold load'] += 1
             self._cold_started_by_id[engine.target_id] = now
+            engine.order_accepted_at = now
             lost = [
                 ends_at for ends_at in self._lost_load_ends if ends_at > now
             ]
