Send waiting requests to a leaving engine that alone holds their model

Cause: an announcement was taken for the end. Class: a state with a grace period handled as if it had none. Change: requests that have waited as long as a load from a disk takes may go to an engine that holds their model, until 0.8 s after its announcement was seen. Not to engines that were never seen ready, whose announcement may be old, nor to those that say in an answer that they end.

--- a/cowsliprack/coordination/fleet_view.py
+++ b/cowsliprack/coordination/fleet_view.py
@@ -4,17 +4,26 @@
 than its registration, so the leader's view has precedence while it is fresh.
 """
 
+import math
 from dataclasses import dataclass, field
 
 from cowsliprack.coordination.absent_models import KnownAbsences
 from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.load_queue import KnownLoadsDue
 from cowsliprack.protocol.gateway_messages import EngineView
-from cowsliprack.state.target_registry import TargetRecord, TargetRegistry
+from cowsliprack.state.target_registry import (
+    TargetRecord,
+    TargetRegistry,
+    TargetState,
+)
 
 # Age of the leader's last view from which the registrations are used instead.
 # A leader's lease lapses at about the same time.
 _VIEW_LIFETIME_SECONDS = 5.0
+# Seconds for which an engine may still get requests after its announcement that
+# it leaves was seen. It serves for 2 s at least after the announcement, which
+# may have taken some tenths of a second to arrive.
+_LAST_USE_SECONDS = 0.8
 # An instance counts as isolated after this time without a leader's view and
 # without a read of the store: no model will be loaded for its requests, and its
 # list of targets may be out of date.
@@ -28,6 +37,9 @@
     :param updated_at: time of the leader's last view, seconds.
     :param absences: models that lie on no engine.
     :param loads_due: when loads of such models that have not begun are due.
+    :param ready_ids: targets that were ready when the registry last changed.
+    :param draining_since_by_id: when targets that had been ready before were
+        first seen draining, seconds.
     """
 
     registry: TargetRegistry = field(default_factory=TargetRegistry)
@@ -35,6 +47,8 @@
     updated_at: float = float('-inf')
     absences: KnownAbsences = field(default_factory=KnownAbsences)
     loads_due: KnownLoadsDue = field(default_factory=KnownLoadsDue)
+    ready_ids: set[str] = field(default_factory=set)
+    draining_since_by_id: dict[str, float] = field(default_factory=dict)
     _rejected: set[tuple[str, str, str]] = field(default_factory=set)
 
     def apply_view(
@@ -87,6 +101,52 @@
             if self._has_model(record, model, adapter, now)
         ]
 
+    def leaving_candidates(
+        self,
+        service: str,
+        model: str,
+        adapter: str,
+        now: float,
+    ) -> list[TargetRecord]:
+        """Return the engines that have just announced that they leave.
+
+        :param service: of the route.
+        :param model: that they hold.
+        :param adapter: empty for the model itself.
+        :param now: seconds.
+        """
+        return [
+            record
+            for record in self.registry.draining_targets(service)
+            if self._may_use_last(record, now)
+            and self._has_model(record, model, adapter, now)
+        ]
+
+    def registry_changed(self, now: float) -> None:
+        """Record which targets have begun to drain.
+
+        Of a target that was not seen ready, it is unknown for how long it has
+        been draining.
+
+        :param now: seconds.
+        """
+        states_by_id = {
+            target_id: record.state
+            for target_id, record in self.registry.records_by_id.items()
+        }
+        draining_ids = {
+            target_id
+            for target_id, state in states_by_id.items()
+            if state is TargetState.draining
+        }
+        known = self.draining_since_by_id
+        self.draining_since_by_id = {
+            target_id: known.get(target_id, now)
+            for target_id in draining_ids
+            if target_id in known or target_id in self.ready_ids
+        }
+        self.ready_ids = set(states_by_id) - draining_ids
+
     def seconds_until_loaded(
         self, service: str, model: str, now: float
     ) -> float:
@@ -113,6 +173,10 @@
         """
         self._rejected.add((target_id, model, adapter))
 
+    def _may_use_last(self, record: TargetRecord, now: float) -> bool:
+        since = self.draining_since_by_id.get(record.target_id, -math.inf)
+        return now - since < _LAST_USE_SECONDS
+
     def _has_model(
         self,
         record: TargetRecord,
--- a/cowsliprack/state/target_registry.py
+++ b/cowsliprack/state/target_registry.py
@@ -189,6 +189,20 @@
             and not self._is_leaving(record)
         ]
 
+    def draining_targets(self, service: str) -> list[TargetRecord]:
+        """Return the targets of a service that have announced that they leave.
+
+        :param service: name of the service.
+        :returns: without those that have said so in an answer, which end soon.
+        """
+        return [
+            record
+            for record in self.service_targets(service)
+            if record.state is TargetState.draining
+            and record.target_id not in self.stale_ids
+            and not self._is_leaving(record)
+        ]
+
     def mark_leaving(self, target_id: str) -> bool:
         """Send nothing more to a target that says that it is about to end.
 
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -173,6 +173,7 @@
     def registry_changed(self) -> None:
         """Apply a new list of targets."""
         registry = self.context.fleet.registry
+        self.context.fleet.registry_changed(self.context.clock())
         self.origins.registry_changed(registry)
         self.context.target_selector.prune(registry.records_by_id)
         self.context.waiting_requests.notify_all()
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -21,7 +21,7 @@
     ServingError,
     TargetsUnreachableError,
 )
-from cowsliprack.state.routing_table import Route, RoutingTable
+from cowsliprack.state.routing_table import ModelSpec, Route, RoutingTable
 from cowsliprack.state.target_registry import TargetRecord
 from cowsliprack.transport.routed_request import RoutedRequest
 
@@ -210,11 +210,15 @@
         return min(max(due_in, cold_seconds), _MAX_LOAD_RETRY_SECONDS)
 
     def _cold_seconds(self, request: RoutedRequest) -> float:
-        service = self.table().services_by_name.get(request.service)
-        engine = service and service.engine
-        model = engine and engine.models_by_name.get(request.metadata.model)
+        model = self._model_spec(request)
         return model.cold_seconds if model else 0
 
+    def _model_spec(self, request: RoutedRequest) -> ModelSpec | None:
+        service = self.table().services_by_name.get(request.service)
+        if service is None or service.engine is None:
+            return None
+        return service.engine.models_by_name.get(request.metadata.model)
+
     async def _wait_for_target(
         self,
         request: RoutedRequest,
@@ -259,12 +263,11 @@
         self, request: RoutedRequest, now: float
     ) -> list[TargetRecord]:
         metadata = request.metadata
-        found = self.fleet.candidates(
-            request.service,
-            metadata.model,
-            metadata.adapter,
-            now,
-        )
+        wanted = (request.service, metadata.model, metadata.adapter)
+        found = self.fleet.candidates(*wanted, now)
+        if not found and self._outwaited_disk(request, now):
+            # Nobody else has loaded the model in the time that a disk takes.
+            found = self.fleet.leaving_candidates(*wanted, now)
         return [
             record
             for record in found
@@ -272,6 +275,12 @@
             and request.may_continue_at(record)
         ]
 
+    def _outwaited_disk(self, request: RoutedRequest, now: float) -> bool:
+        model = self._model_spec(request)
+        if model is None:
+            return False
+        return now - request.arrived_at >= model.disk_seconds
+
     def _pick(
         self, request: RoutedRequest, *, is_waiting: bool
     ) -> TargetRecord | None:
--- a/tests/bench/starved_names.feature
+++ b/tests/bench/starved_names.feature
@@ -27,6 +27,19 @@
     When the log is read
     Then the loads from the weight store are "3 to 11.0 f"
 
+  Scenario Outline: A model that was <case> needed the weight store: <needed>
+    Given the log of a day with requests for f at 0, 4, 8 and 12 seconds
+    And <line>
+    And a load of f from the weight store from <began> to 30 seconds
+    When the log is read
+    Then <needed> models needed the weight store
+
+    Examples:
+      | case                         | line                      | began | needed |
+      | served before its first load | an answer with status 200 | 20    | 0      |
+      | served after it              | an answer with status 200 | 3     | 1      |
+      | never served                 | no further line           | 20    | 1      |
+
   Scenario Outline: The best possible figure: <case>
     When the last callers leave at <leave> seconds
     And loads can end at 6 seconds and every 4 seconds after it
--- a/tests/platform/mixed_builds.feature
+++ b/tests/platform/mixed_builds.feature
@@ -15,6 +15,8 @@
       | 2058ee7 | member |
       | e0b4aa0 | leader |
       | e0b4aa0 | member |
+      | e1b92be | leader |
+      | e1b92be | member |
 
   Scenario: Gateways are replaced by this build and back, one after the other
     Given three gateways of 2058ee7
--- a/tests/steps/starved_names_steps.py
+++ b/tests/steps/starved_names_steps.py
@@ -90,6 +90,11 @@
     assert ', '.join(loads) == text, loads
 
 
+@then('{count:d} models needed the weight store')
+def then_needed(context, count):
+    assert len(context.day.last_chances()) == count
+
+
 @when('the last callers leave at {times} seconds')
 def when_leaving(context, times):
     context.last_chances = [float(time) for time in times.split(',')]
--- a/tests/steps/target_finder_steps.py
+++ b/tests/steps/target_finder_steps.py
@@ -2,6 +2,7 @@
 
 import re
 import time
+from dataclasses import replace
 
 import anyio
 from behave import given, then, when
@@ -377,3 +378,49 @@
 @then('it has waited for less than {seconds:g} seconds')
 def then_waited(context, seconds):
     assert context.waited < seconds, context.waited
+
+
+@given('an engine that holds m0 and begins to drain')
+def given_leaving_engine(context):
+    context.fleet = FleetView()
+    record = _engine('e1', 'm0')
+    context.fleet.registry.replace([record], 1)
+    context.fleet.registry_changed(0)
+    context.fleet.registry.replace(
+        [replace(record, state=TargetState.draining)], 2
+    )
+
+
+@when(
+    'a request that has waited {waited:g} seconds for m0 looks for it, '
+    '{seconds:g} seconds after'
+)
+def when_leaving_looked_for(context, waited, seconds):
+    now = time.monotonic()
+    context.fleet.registry_changed(now - seconds)
+    selector = TargetSelector('z')
+    finder = _finder(context.fleet, selector, Freshness(60, now))
+    request = routed_request(
+        '/chat/x',
+        'llm',
+        now - waited,
+        5,
+        exchange=_NotStarted(),
+        metadata=RequestMetadata('id', '', None, model='m0'),
+    )
+    context.error, context.found = anyio.run(_find_target, finder, request)
+
+
+async def _find_target(finder, request):
+    with anyio.move_on_after(0.05):
+        try:
+            return None, await finder.find(request)
+        except ServingError as error:
+            return error, None
+    return None, None
+
+
+@then('it is sent to that engine')
+def then_sent(context):
+    assert context.error is None, context.error
+    assert context.found.target_id == 'e1', context.found
--- a/tests/transport/mixed_builds.feature
+++ b/tests/transport/mixed_builds.feature
@@ -16,3 +16,5 @@
       | first      | second     |
       | 2058ee7    | this build |
       | this build | 2058ee7    |
+      | e1b92be    | this build |
+      | this build | e1b92be    |
--- a/tests/transport/target_finder.feature
+++ b/tests/transport/target_finder.feature
@@ -63,6 +63,17 @@
       | engines of v1 without and v2 with m0   | v1      | waits until an engine of v1 has loaded the model  |
       | engines of v1 and v2, the former drains | v1     | is rejected: no target runs the version           |
 
+  Scenario Outline: A request waits for a model that only a leaving engine holds: <case>
+    Given an engine that holds m0 and begins to drain
+    When a request that has waited <waited> seconds for m0 looks for it, <seconds> seconds after
+    Then it <result>
+
+    Examples:
+      | case                             | waited | seconds | result               |
+      | a load from a disk may come      | 0      | 0       | waits                |
+      | no disk has brought it           | 1      | 0       | is sent to that engine |
+      | the engine may end at any moment | 1      | 0.9     | waits                |
+
   Scenario: The route of a stream has moved to another service
     Given engines of v1 and v2 that hold m0
     When a request for m0 of a stream that another service began looks for a target
--- a/tools/bench/starved_names.py
+++ b/tools/bench/starved_names.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -50,12 +51,14 @@
     :param outcomes: how often each outcome ended a request.
     :param lost_at: when the leader saw that no engine has a copy any more,
         seconds.
+    :param first_answer_at: end of the first request that was served, seconds.
     """
 
     requested_at: list[float] = field(default_factory=list)
     outcomes: Counter[str] = field(default_factory=Counter)
     loads: list[Load] = field(default_factory=list)
     lost_at: list[float] = field(default_factory=list)
+    first_answer_at: float = math.inf
 
     def is_lasting(self) -> bool:
         """Return whether it was asked for throughout the day."""
@@ -70,9 +73,9 @@
 
     def needed_store(self) -> bool:
         """Return whether only a load from the weight store could serve it."""
-        if not self.is_lasting():
-            return False
-        return not self.is_served() or any(load.is_cold for load in self.loads)
+        cold = [load.began_at for load in self.loads if load.is_cold]
+        is_served_before = self.first_answer_at < min(cold, default=math.inf)
+        return self.is_lasting() and not is_served_before
 
 
 @dataclass(slots=True)
@@ -138,6 +141,8 @@
             history = self.history_by_name[name]
             history.requested_at.append(at - entry['total_ms'] / 1000)
             history.outcomes[_outcome(entry)] += 1
+            if history.is_served():
+                history.first_answer_at = min(history.first_answer_at, at)
 
     def _add_placement(self, at: float, entry: dict[str, Any]) -> None:
         kind, *name = entry['choice'].split()
