--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -310,6 +310,7 @@
             model=request.metadata.model,
             adapter=request.metadata.adapter,
             software_version=target.software_version,
+            state=target.state.value,
             resume_after=request.resume_after(),
             continued_id=request.metadata.continued_id,
             running=round(self.target_selector.running(target.target_id), 1),
