--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -170,6 +170,14 @@
     stated_seconds: float
     batch: LoadBatch = field(default_factory=LoadBatch)
 
+    def slowdown(self, now: float) -> float:
+        """Return the time since the order was accepted, by the configured one.
+
+        :param now: seconds.
+        :returns: negative until the engine is known to have accepted it.
+        """
+        return (now - self.engine.order_accepted_at) / self.stated_seconds
+
     def ends_at(self, full_speed_loads: int) -> float:
         """Return when the load is expected to end, seconds.
 
@@ -355,22 +363,25 @@
         :param loads: running loads on engines that answer.
         :param now: seconds.
         """
-        self._is_awaiting_end = False
-        overdue: Counter[LoadBatch] = Counter()
-        for load in loads:
-            # Negative until the engine has accepted the order.
-            seconds = now - load.engine.order_accepted_at
-            slowdown = seconds / load.stated_seconds
-            is_alone = load.batch.most == 1
-            if slowdown <= 1 or is_alone or load.started_at < self.lowered_from:
-                continue
-            overdue[load.batch] += slowdown > _OVERDUE_SLOWDOWN
-            self._is_awaiting_end |= (
-                slowdown <= _OVERDUE_SLOWDOWN
-                and load.batch.most <= self.store_limit
-            )
+        late = [
+            load
+            for load in loads
+            if load.slowdown(now) > 1
+            and load.batch.most > 1
+            and load.started_at >= self.lowered_from
+        ]
+        overdue = Counter(
+            load.batch
+            for load in late
+            if load.slowdown(now) > _OVERDUE_SLOWDOWN
+        )
         for batch, count in overdue.items():
             self._lower(batch.most - count, now)
+        self._is_awaiting_end = any(
+            load.slowdown(now) <= _OVERDUE_SLOWDOWN
+            and load.batch.most <= self.store_limit
+            for load in late
+        )
 
     def may_start(self, loads_per_second: float, now: float) -> bool:
         """Return whether one more load may begin.
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -350,6 +350,14 @@
       | 10      | 2     |
       | 61      | 3     |
 
+  Scenario: Loads that end a little late are no reason not to raise the limit
+    Given 56 empty engines
+    And a weight store that admits 2 loads a second
+    And 4 loads from the weight store have begun together
+    When all 4 of them have ended 0.1 seconds late
+    And 4 loads at the limit of 4 end on time
+    Then the limit is 5 loads
+
   Scenario: A limit of one load is raised at once
     Given 56 empty engines
     And 4 concurrent loads from the weight store took 4 times the expected time
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -459,6 +459,23 @@
     _end_on_time(context, context.orders[2:])
 
 
+@when('all 4 of them have ended {late:g} seconds late')
+def when_all_ended(context, late):
+    context.scheduler.plan([], context.now + 6 + late)
+    _end_on_time(context, context.orders)
+
+
+@when('{count:d} loads at the limit of 4 end on time')
+def when_more_ended(context, count):
+    model = _spec().models_by_name['a']
+    engine = context.scheduler.engines_by_id['e9']
+    engine.cold_loads_at_start = 4
+    for _ in range(count):
+        context.scheduler.end_cold_load(
+            engine, model, model.cold_seconds, context.now
+        )
+
+
 def _end_on_time(context, orders):
     scheduler = context.scheduler
     context.now += 6
