Show with processes that a leaving engine serves the requests that wait for it

gateway.feature, 1 scenario: a load from the weight store during which both engines announce that they leave; 503 cold_start_unavailable without.

--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -132,6 +132,11 @@
     When service s1 reports that it is draining
     Then 20 lookups at both gateways run at s2 only
 
+  Scenario: An engine that leaves during a load serves the request that waits for it
+    Given engines without copies on disk that take 0.4 seconds for a load
+    When a caller asks g1 for a stream of m3, and both engines announce during its load that they leave
+    Then the response is 200 with 5 events in order
+
   Scenario: A target whose entry is deleted gets no new requests
     When the entry of service s1 is deleted
     Then 20 lookups at both gateways run at s2 only
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -482,6 +482,40 @@
     time.sleep(0.5)
 
 
+@given(
+    'engines without copies on disk that take {seconds:g} seconds for a load'
+)
+def given_slow_loads(context, seconds):
+    for name in ('e1', 'e2'):
+        engine = context.cluster.engines[name]
+        engine.load_seconds = seconds
+        engine.on_disk = set(engine.models)
+        context.cluster.call(engine.register)
+    time.sleep(0.3)
+
+
+@when(
+    'a caller asks g1 for a stream of {model:w}, and both engines announce '
+    'during its load that they leave'
+)
+def when_leaving_during_load(context, model):
+    engines = [context.cluster.engines[name] for name in ('e1', 'e2')]
+    with ThreadPoolExecutor(1) as caller:
+        answer = caller.submit(_stream, context, 'g1', model, '/report/')
+        _wait_until(
+            lambda: any(
+                order['op'] == 'load' and order['model'] == model
+                for engine in engines
+                for order in engine.orders
+            ),
+            5,
+        )
+        for engine in engines:
+            engine.state = 'draining'
+            context.cluster.call(engine.register)
+        context.response = answer.result()
+
+
 def _lookup(context, gateway):
     _, headers = _headers()
     return _request(context, gateway, 'GET', '/stock/1', headers)[0]
