Tell members of shifted loads only when they shift by a quarter

Retry-After is then up to a quarter off, and the order that the next leader inherits is that of the times told.

--- a/cowsliprack/coordination/load_queue.py
+++ b/cowsliprack/coordination/load_queue.py
@@ -5,15 +5,16 @@
 """
 
 import heapq
-import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from cowsliprack.protocol.gateway_messages import LoadDue
 
-# Seconds by which an expectation must change to be told again. Each change goes
-# to all members, and callers come back some seconds late or early anyway.
+# Seconds by which an expectation must change to be told again, and the same as
+# a share of the time left; the larger one applies. Each change goes to all
+# members, and one more model in the queue shifts all those behind it.
 _TOLERANCE_SECONDS = 3.0
+_TOLERANCE_SHARE = 0.25
 
 
 def expected_ends(
@@ -55,18 +56,22 @@
     changed_by_name: dict[tuple[str, str], int] = field(default_factory=dict)
 
     def update(
-        self, due_at_by_name: Mapping[tuple[str, str], float], sequence: int
+        self,
+        due_at_by_name: Mapping[tuple[str, str], float],
+        sequence: int,
+        now: float,
     ) -> bool:
         """Apply new expectations; return whether any must be told.
 
         :param due_at_by_name: see the class.
         :param sequence: of the next view.
+        :param now: seconds.
         """
         known = self.due_at_by_name
         changed = [
             name
             for name in known.keys() | due_at_by_name.keys()
-            if _differ(known.get(name), due_at_by_name.get(name))
+            if _differ(known.get(name), due_at_by_name.get(name), now)
         ]
         self.changed_by_name.update(dict.fromkeys(changed, sequence))
         unchanged = known.keys() - set(changed)
@@ -133,7 +138,8 @@
         return max(due_at - now, 0)
 
 
-def _differ(known: float | None, due_at: float | None) -> bool:
+def _differ(known: float | None, due_at: float | None, now: float) -> bool:
     if known is None or due_at is None:
         return known is not due_at
-    return not math.isclose(known, due_at, abs_tol=_TOLERANCE_SECONDS)
+    tolerance = max(_TOLERANCE_SECONDS, (due_at - now) * _TOLERANCE_SHARE)
+    return abs(known - due_at) > tolerance
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -317,7 +317,7 @@
         sequence = self.sequence + 1
         changes = (
             self._absences.update(loaded_at_by_name, sequence),
-            self._loads_due.update(due_at_by_name, sequence),
+            self._loads_due.update(due_at_by_name, sequence, now),
         )
         if not any(changes):
             return False
