Handle signals until the process has stopped

Timeline: SIGTERM at 6.700 s, 25 requests in hand; SIGHUP (settings changed, 6.6 to 9.6 s) at 8.133 s, the process is gone and starts again at 9.26 s. Cause: the first SIGTERM ended the receiver of signals, and with it its handlers, so that the default action of the next signal ended the process during the drain. Older than this issue. Change: signals are handled in a task of their own until the stop is over; SIGHUP is ignored from the start of the process. The same for cowsliprack serve, where SIGHUP ended the process at any time. A second SIGTERM is logged; the stop stays within its bound. Tests: gateway.feature, 2 rows (SIGHUP, SIGTERM while 30 events are streamed), both failed before. The older path has no scenario of its own.

--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -35,7 +35,7 @@
 from cowsliprack.transport.region_term import RegionContext
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.route_server import RouteServer
-from cowsliprack.transport.signals import wait_for_stop
+from cowsliprack.transport.signals import handle_signals
 from cowsliprack.transport.store_reader import KindReader, KindReading
 from cowsliprack.transport.target_feed import TargetFeed
 from cowsliprack.transport.target_finder import TargetFinder
@@ -199,9 +199,11 @@
 
     async def run(self) -> None:
         """Run until a stop signal arrives, then shut down gracefully."""
+        stop = anyio.Event()
         stopped = anyio.Event()
         bindings = self.bindings
         async with anyio.create_task_group() as tasks:
+            await tasks.start(handle_signals, stop)
             tasks.start_soon(
                 KindReader(
                     bindings.store,
@@ -231,7 +233,7 @@
                 front=self.settings.front_address,
                 peers=self.sockets.address,
             )
-            await wait_for_stop()
+            await stop.wait()
             await self._drain(stopped)
             tasks.cancel_scope.cancel()
         _log.info('stopped', instance_id=self.settings.instance_id)
--- a/cowsliprack/transport/gateway_run.py
+++ b/cowsliprack/transport/gateway_run.py
@@ -10,6 +10,7 @@
 from cowsliprack.transport.checked_transport import CheckedTransport
 from cowsliprack.transport.gateway import Gateway
 from cowsliprack.transport.peer_sockets import PeerSockets
+from cowsliprack.transport.signals import ignore_hangup
 
 
 async def run_gateway(
@@ -23,6 +24,7 @@
     :param settings: settings of the instance.
     :param make_bindings: creates the platform's protocol clients.
     """
+    ignore_hangup()
     client = httpx.AsyncClient(transport=CheckedTransport(), trust_env=False)
     bindings = make_bindings(settings, client)
     secret = await bindings.read_fleet_secret(
--- a/cowsliprack/transport/instance.py
+++ b/cowsliprack/transport/instance.py
@@ -1,7 +1,6 @@
 """Starts and stops the tasks of one instance."""
 
 import random
-import signal
 import socket
 import time
 import uuid
@@ -37,6 +36,7 @@
 from cowsliprack.transport.leader import Leader, LeaderDependencies
 from cowsliprack.transport.mesh import Mesh
 from cowsliprack.transport.peer_sockets import PeerSockets
+from cowsliprack.transport.signals import handle_signals
 from cowsliprack.transport.store_client import HttpObjectStore
 from cowsliprack.transport.target_client import TargetClient
 
@@ -157,8 +157,10 @@
             (self.settings.host, self.settings.port),
             backlog=LISTEN_BACKLOG,
         )
+        stop = anyio.Event()
         shutdown = anyio.Event()
         async with anyio.create_task_group() as tasks:
+            await tasks.start(handle_signals, stop)
             tasks.start_soon(self.dispatch_loop.run)
             tasks.start_soon(self.leader.run)
             tasks.start_soon(self.mesh.run)
@@ -172,7 +174,7 @@
                 instance_id=self.settings.instance_id,
                 zone=self.settings.zone,
             )
-            await _wait_for_signal()
+            await stop.wait()
             await self._drain()
             shutdown.set()
             with anyio.move_on_after(_CLOSE_TIMEOUT_SECONDS):
@@ -278,10 +280,3 @@
         client = TargetClient()
         stack.push_async_callback(client.aclose)
         await Instance(settings, sockets, store, client).run()
-
-
-async def _wait_for_signal() -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for number in signals:
-            _log.info('signal_received', signal=signal.Signals(number).name)
-            return
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -189,6 +189,17 @@
     And the stream completes
     And g1 exits within 6 seconds
 
+  Scenario Outline: A gateway that stops gets <second> as well
+    Given engines that take 0.1 seconds for an event
+    When g1 gets SIGTERM and then <second> while it streams 30 events
+    Then the stream completes
+    And g1 exits within 6 seconds
+
+    Examples:
+      | second  |
+      | SIGHUP  |
+      | SIGTERM |
+
   Scenario: A graceful shutdown cuts no request before the last sixth of the grace period
     Given engines that take 0.1 seconds for an event
     When g1 gets SIGTERM while it streams 48 events
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -105,6 +105,7 @@
 
 
 def _check_events(response, count):
+    assert not isinstance(response, ConnectionError), response
     status, headers, body = response
     assert status == 200, response
     ids = [
@@ -751,8 +752,17 @@
         context.cluster.engines[name].event_seconds = seconds
 
 
+@when('g1 gets SIGTERM and then {second:w} while it streams {count:d} events')
+def when_stop_and_signal(context, second, count):
+    _stop_during_stream(context, count, signal.Signals[second])
+
+
 @when('g1 gets SIGTERM while it streams {count:d} events')
 def when_stop(context, count):
+    _stop_during_stream(context, count)
+
+
+def _stop_during_stream(context, count, second=None):
     cluster = context.cluster
     for name in ('e1', 'e2'):
         cluster.engines[name].events = count
@@ -763,7 +773,12 @@
         cluster.signal('g1', signal.SIGTERM)
         time.sleep(0.2)
         context.ready = cluster.is_ready('g1')
-        context.response = streaming.result()
+        if second is not None:
+            cluster.signal('g1', second)
+        try:
+            context.response = streaming.result()
+        except ConnectionError as error:
+            context.response = error
 
 
 @then('g1 reports at once that it is not ready')
