Begin no load between the proofs of two overdue loads

Cause: the wait for the second proof compared the size of the whole batch with the limit that the first one had just lowered. Test: model_scheduler.feature, 1 scenario that failed before.

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -396,7 +396,7 @@
             self._lower(batch.most - count, now)
         self._is_awaiting_end = any(
             load.slowdown(now) <= _OVERDUE_SLOWDOWN
-            and load.batch.most <= self.store_limit
+            and load.batch.most - overdue[load.batch] <= self.store_limit
             for load in late
         )
 
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -314,6 +314,20 @@
     And the scheduler plans 0.8 seconds later
     Then the limit is 2 loads
 
+  Scenario: No load begins between the proofs of two overdue loads
+    Given 56 empty engines
+    And a weight store that admits 2 loads a second
+    And 4 loads from the weight store have begun together
+    And the last of them has been accepted 0.1 seconds late
+    When 2 of them have ended on time
+    And 6 requests at different instances wait for e
+    And the scheduler plans 0.65 seconds later
+    Then 0 loads were ordered
+    And the limit is 3 loads
+    When the scheduler plans 0.2 seconds later
+    Then 0 loads were ordered
+    And the limit is 2 loads
+
   Scenario Outline: A load that was ordered with 3 others, <case>
     Given 56 empty engines
     And a weight store that admits 2 loads a second
