Reject requests at once whose model is loaded too late in its turn

Cause: the check before a wait for an absent model reckoned with a load that begins now. The turn in the order of loads, which the leader tells, went into Retry-After alone, so a request waited for what its patience exceeded the time of a load and was then refused.

Change: the check uses the expected end of the load in its turn. The leader orders the turns as it plans the loads, so that a model which many requests wait for does not count as last, and a model that nobody has asked for is due as if it were asked for now and delays no other.

Ruled out: reporting the rejected request until its turn; the benefit of a model would then count callers who have left.

The scenario fails without the turn.

--- a/cowsliprack/coordination/load_queue.py
+++ b/cowsliprack/coordination/load_queue.py
@@ -5,7 +5,8 @@
 """
 
 import heapq
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from cowsliprack.protocol.gateway_messages import LoadDue
@@ -23,14 +24,17 @@
     running_ends: Iterable[float],
     concurrent_loads: int,
     now: float,
+    unrequested: Collection[str] = (),
 ) -> dict[str, float]:
-    """Return when the loads of waiting models are expected to end, seconds.
+    """Return when the loads of absent models are expected to end, seconds.
 
     :param queue: models in the order of their loads.
     :param seconds_by_model: time of a load at full speed.
     :param running_ends: when the running loads are expected to end, seconds.
-    :param concurrent_loads: loads that the store serves at full speed.
+    :param concurrent_loads: loads that may run at the same time.
     :param now: seconds.
+    :param unrequested: models of the queue that no request waits for. Each is
+        due as if a request for it came now; none delays the others.
     """
     ends = [max(end, now) for end in running_ends]
     free = [now for _ in range(concurrent_loads - len(ends))]
@@ -40,10 +44,29 @@
     expected = {}
     for model in queue:
         expected[model] = slots[0] + seconds_by_model[model]
-        heapq.heapreplace(slots, expected[model])
+        if model not in unrequested:
+            heapq.heapreplace(slots, expected[model])
     return expected
 
 
+def seconds_until_usable(
+    seconds_until_loaded: float,
+    seconds_until_due: float,
+    cold_seconds: float,
+) -> float:
+    """Return when a request for a model can start, as far as known.
+
+    :param seconds_until_loaded: end of a load that is under way; 0 if the model
+        is not absent, ``inf`` if it is and no load has begun.
+    :param seconds_until_due: expected end of a load that has not begun, in its
+        turn; 0 if that is unknown.
+    :param cold_seconds: duration of a load from the weight store.
+    """
+    if math.isinf(seconds_until_loaded):
+        return max(seconds_until_due, cold_seconds)
+    return seconds_until_loaded
+
+
 @dataclass(slots=True)
 class LoadsDueLedger:
     """What a leader has told of loads that have not begun.
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from operator import itemgetter
 
 from cowsliprack.coordination.absent_models import AbsentModels
 from cowsliprack.coordination.adapter_placement import plan_adapter
@@ -171,6 +172,10 @@
     _index: EngineIndex = field(default_factory=EngineIndex)
     _waiting_models: set[str] = field(default_factory=set)
     _waiting_share_by_id: dict[str, float] = field(default_factory=dict)
+    # Sort key of the first candidate for each model.
+    _order_by_model: dict[str, tuple[int, float, float]] = field(
+        default_factory=dict
+    )
 
     def plan(
         self,
@@ -194,12 +199,15 @@
             *self._scale_up_candidates(),
             *_limited_candidates(waiting, self._index),
         ]
-        candidates.sort(
-            key=lambda candidate: _scheduling_order(
-                candidate, self._missing.since_by_model
-            )
-        )
-        for candidate in candidates:
+        in_order = [
+            (_scheduling_order(one, self._missing.since_by_model), one)
+            for one in candidates
+        ]
+        in_order.sort(key=itemgetter(0))
+        self._order_by_model = {
+            candidate.model: order for order, candidate in reversed(in_order)
+        }
+        for _, candidate in in_order:
             orders.extend(self._schedule(candidate, now))
         if not waiting and self.rates.is_idle(now):
             orders.extend(self._preload_missing(now))
@@ -251,8 +259,7 @@
         """Return when the absent models without a load can be loaded.
 
         :param now: seconds.
-        :returns: expected end by model, seconds. Those that requests wait for
-            come first, the one that has been missing for longest before others.
+        :returns: expected end by model, seconds, in the order of the last plan.
         """
         waiting_since = self._missing.since_by_model
         queue = sorted(
@@ -261,7 +268,9 @@
                 for name, ends_at in self.absent.loaded_at_by_model.items()
                 if math.isinf(ends_at)
             ),
-            key=lambda name: waiting_since.get(name, math.inf),
+            key=lambda name: self._order_by_model.get(
+                name, (1, waiting_since.get(name, math.inf), math.inf)
+            ),
         )
         store_limit = self.cold_loads.store_limit
         return expected_ends(
@@ -274,8 +283,9 @@
                 *self._lost_loads.running_ends(store_limit),
                 *self.earlier_loads.values(),
             ],
-            store_limit,
+            self._max_cold_loads(0, now),
             now,
+            set(queue).difference(self._order_by_model),
         )
 
     def end_cold_load(
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -9,6 +9,7 @@
 
 from cowsliprack.coordination.fleet_view import FleetView, is_isolated
 from cowsliprack.coordination.freshness import Freshness
+from cowsliprack.coordination.load_queue import seconds_until_usable
 from cowsliprack.coordination.poison import PoisonTracker
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.coordination.waiting_requests import (
@@ -177,37 +178,30 @@
     ) -> None:
         """Reject a request whose model lies on no engine and comes too late.
 
-        A load that has not begun takes at least the configured time. The caller
-        is told when the model is expected in its turn.
+        A load that has not begun has to wait for its turn, since the weight
+        store serves few loads at a time.
         """
-        metadata = request.metadata
-        seconds = self.fleet.seconds_until_loaded(
-            request.service, metadata.model, now
+        wanted = (request.service, request.metadata.model)
+        cold_seconds = self._cold_seconds(request)
+        loaded_in = self.fleet.seconds_until_loaded(*wanted, now)
+        seconds = seconds_until_usable(
+            loaded_in,
+            self.fleet.loads_due.seconds_until_due(*wanted, now),
+            cold_seconds,
         )
-        seconds_until_due = seconds
-        if math.isinf(seconds):
-            seconds = self._cold_seconds(request)
-            seconds_until_due = self._seconds_until_due(request, seconds, now)
         if seconds <= waiter.gives_up_at - now:
             return
+        # The leader plans the load for callers that are expected to come back.
+        returns_in = cold_seconds if math.isinf(loaded_in) else loaded_in
         self.waiting_requests.expect_return(
-            replace(waiter, gives_up_at=now + seconds)
+            replace(waiter, gives_up_at=now + returns_in)
         )
         self.demand_changed()
         raise ServingError(
             ErrorKind.cold_start_unavailable,
             'the model lies on no engine and is not loaded in time',
-            retry_after=seconds_until_due,
-        )
-
-    def _seconds_until_due(
-        self, request: RoutedRequest, cold_seconds: float, now: float
-    ) -> float:
-        """Return when a load that has not begun is expected to end."""
-        due_in = self.fleet.loads_due.seconds_until_due(
-            request.service, request.metadata.model, now
+            retry_after=min(seconds, _MAX_LOAD_RETRY_SECONDS),
         )
-        return min(max(due_in, cold_seconds), _MAX_LOAD_RETRY_SECONDS)
 
     def _cold_seconds(self, request: RoutedRequest) -> float:
         model = self._model_spec(request)
--- a/tests/bench/rotation_replay.feature
+++ b/tests/bench/rotation_replay.feature
@@ -28,3 +28,7 @@
   Scenario: No engine is ordered to exceed its memory
     Given the workload "6 engines of 3 places" replayed with 3 seeds
     Then no engine held more than 3 models
+
+  Scenario: Requests whose model is loaded too late are rejected at once
+    Given the workload "30 engines of 3 places" replayed with 3 seeds
+    Then fewer than 50 of 564 rejections come after more than 1 second
--- a/tests/coordination/load_queue.feature
+++ b/tests/coordination/load_queue.feature
@@ -17,6 +17,19 @@
       | 11, 12, 14 | 2     | 18, 20, 24 |
       | 8, 14      | 2     | 16, 20, 22 |
 
+  Scenario: A model that nobody has asked for delays no other
+    Given loads that end at 12, 14 seconds
+    When a, b and c wait for loads of 6 seconds at 10 seconds
+    But no request waits for a or b
+    Then with 2 loads at once they are expected at 18, 18, 18 seconds
+
+  Scenario: A model that many requests wait for is due before one missing for longer
+    Given a leader with models a to f, and an engine that holds a
+    And requests for e, then for c
+    And 9 requests for d
+    When the leader has planned for 6 seconds
+    Then d is due first, then e, then the others
+
   Scenario: Models are due in the order in which they have been asked for
     Given a leader with models a to f, and an engine that holds a
     And requests for e, then for c
--- a/tests/steps/load_queue_steps.py
+++ b/tests/steps/load_queue_steps.py
@@ -34,12 +34,25 @@
 @when('a, b and c wait for loads of 6 seconds at {now:d} seconds')
 def when_waiting(context, now):
     context.now = now
+    context.unrequested = ()
+
+
+@when('no request waits for a or b')
+def when_unrequested(context):
+    context.unrequested = ('a', 'b')
 
 
 @then('with {slots:d} loads at once they are expected at {expected} seconds')
 def then_expected(context, slots, expected):
     seconds = dict.fromkeys('abc', 6.0)
-    ends = expected_ends('abc', seconds, context.ends, slots, context.now)
+    ends = expected_ends(
+        'abc',
+        seconds,
+        context.ends,
+        slots,
+        context.now,
+        context.unrequested,
+    )
     assert list(ends.values()) == [float(e) for e in expected.split(',')], ends
 
 
@@ -77,6 +90,15 @@
         context.now += 0.1
 
 
+@given('{count:d} requests for d')
+def given_many(context, count):
+    context.groups.append(
+        GroupDemand(
+            's', 'd', '', count, context.now + 1, context.now + 99, context.now
+        )
+    )
+
+
 @when('the leader has planned for {seconds:d} seconds')
 def when_planned(context, seconds):
     for _ in range(seconds * 10):
@@ -86,10 +108,10 @@
     context.state.refresh_absences(context.now)
 
 
-@then('e is due first, then c, then the others')
-def then_order(context):
+@then('{first:w} is due first, then {second:w}, then the others')
+def then_order(context, first, second):
     due = context.scheduler.loads_due(context.now)
-    assert sorted(due, key=due.get)[:2] == ['e', 'c'], due
+    assert sorted(due, key=due.get)[:2] == [first, second], due
     assert set(due) == set('bcdef'), due
 
 
--- a/tests/steps/rotation_replay_steps.py
+++ b/tests/steps/rotation_replay_steps.py
@@ -67,3 +67,18 @@
 def then_models_per_engine(context, count):
     for finished in context.replays:
         assert finished.peak_models <= count, finished.peak_models
+
+
+@then(
+    'fewer than {late:d} of {rejections:d} rejections come after more than 1 '
+    'second'
+)
+def then_rejected_early(context, late, rejections):
+    held = [
+        seconds
+        for finished in context.replays
+        for score in finished.scores_by_kind.values()
+        for seconds in score.held_seconds
+    ]
+    held_long = sum(seconds > 1 for seconds in held)
+    assert held_long / len(held) < late / rejections, (held_long, len(held))
--- a/tests/transport/target_finder.feature
+++ b/tests/transport/target_finder.feature
@@ -107,6 +107,20 @@
       | a load takes 0.2 s       | 0   | 0   | 0.2     |
       | the order may change     | 200 | 0   | 60      |
 
+  Scenario Outline: A request that could wait for a load, but not for its turn: <case>
+    Given an engine without m0, and a leader that says of m0: no load
+    And the load of m0 is due in <due> seconds
+    And its last view is <age> seconds old
+    When a request for m0 that can wait 4 seconds looks for it
+    Then it <result>
+
+    Examples:
+      | case                       | due | age | result                  |
+      | its turn comes too late    | 30  | 0   | is to come back in 30 s |
+      | its turn comes in time     | 3   | 0   | waits                   |
+      | its turn is unknown        | 0   | 0   | waits                   |
+      | the leader is silent       | 30  | 6   | waits                   |
+
   Scenario: The leader learns of requests for absent models until they come back
     Given an engine without m0, and a leader that says of m0: loaded in 4 seconds
     And its last view is 0 seconds old
--- a/tools/bench/rotation_replay.py
+++ b/tools/bench/rotation_replay.py
@@ -21,6 +21,7 @@
 from cowsliprack.state.engine_state import EngineOrder, EngineState
 from cowsliprack.state.routing_table import EngineSpec, ModelSpec
 from cowsliprack.state.target_registry import TargetRecord, TargetState
+from tools.bench.early_rejection import AbsenceNews, RejectedCallers
 
 _STEP_SECONDS = 0.01
 # Delay of an order and of the report that it has finished, together.
@@ -30,6 +31,8 @@
 # From the start of a request on an engine to its first output event.
 _FIRST_EVENT_SECONDS = 0.06
 _MODEL_MEGABYTES = 70.0
+# Retry-After of a request that has waited in vain, in seconds.
+_BRIEF_RETRY_SECONDS = 1.0
 # A model or adapter is requested throughout the workload if it is requested at
 # least this often over at least this time, in seconds.
 _LASTING_REQUESTS = 4
@@ -52,6 +55,8 @@
     :param adapter_share: fraction of the requests that name an adapter.
     :param retries: number of times that a caller comes back after its request
         was given up.
+    :param patience: seconds for which a caller waits for the first output event
+        of one attempt; it comes back within the timeout.
     """
 
     name: str
@@ -63,6 +68,7 @@
     late_value: float
     adapter_share: float = 0
     retries: int = 0
+    patience: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +104,8 @@
     :param removal: time, number of engines that leave for good, and seconds
         until as many empty ones come.
     :param plan_seconds: interval of the plans of the scheduler.
+    :param rejects_early: whether requests are rejected as soon as their model
+        is known to be loaded too late.
     """
 
     name: str
@@ -123,6 +131,7 @@
     crash: EngineChange = (math.inf, 0, 0)
     removal: EngineChange = (math.inf, 0, 0)
     plan_seconds: float = _STEP_SECONDS
+    rejects_early: bool = False
 
 
 SIX_ENGINES = Workload(
@@ -179,7 +188,39 @@
     removal=(7.1, 8, 6.0),
     plan_seconds=0.05,
 )
-WORKLOADS = (SIX_ENGINES, NINE_ENGINES, FIFTY_SIX_ENGINES)
+# Of the models in use, two thirds of the rare ones lie on no disk at first, and
+# the weight store loads one in 3.9 s.
+THIRTY_ENGINES = Workload(
+    name='30 engines of 3 places',
+    engines=30,
+    models_per_engine=3,
+    slots=48,
+    disk_models=4,
+    busy_shares=tuple(
+        (rank + 1) ** -0.7 if rank < 22 else 0 for rank in range(55)
+    ),
+    rare_models=140,
+    draft=RequestKind(
+        'draft', 45.1, 1.0, 15.1, 2.2, 1.9, 0.19, 0.05, 1, patience=4
+    ),
+    ask=RequestKind('ask', 27.7, 1.0, 8.0, 0.9, 1.3, 0.13, 0.2, 1, patience=4),
+    batch=RequestKind(
+        'batch', 9.5, 2.5, 25, 2.2, 19.6, 2.9, retries=1, patience=10
+    ),
+    adapters=24,
+    lead_seconds=11.0,
+    end_at=41.0,
+    burst=(9.0, 15.0, 2.0),
+    disk_capacity=7,
+    cold_seconds=7.8,
+    full_speed_loads=2,
+    loads_per_second=20,
+    crash=(7.2, 13, 2.0),
+    removal=(11.6, 1, 6.0),
+    plan_seconds=0.05,
+    rejects_early=True,
+)
+WORKLOADS = (SIX_ENGINES, NINE_ENGINES, FIFTY_SIX_ENGINES, THIRTY_ENGINES)
 
 
 @dataclass(slots=True, eq=False)
@@ -191,6 +232,7 @@
     run_seconds: float
     waits_until: float
     retries: int
+    attempted_at: float
 
     def names(self) -> tuple[str, ...]:
         """Return the model and the adapter as MODEL/ADAPTER, if any."""
@@ -207,6 +249,7 @@
     :param earned_value: value of the requests that were started.
     :param in_time: number of requests that met their latency target.
     :param given_up: number of requests that timed out while they waited.
+    :param held_seconds: for each rejection, how long the request had waited.
     """
 
     possible_value: float = 0
@@ -214,6 +257,7 @@
     requests: int = 0
     in_time: int = 0
     given_up: int = 0
+    held_seconds: list[float] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -241,6 +285,10 @@
     _busy_models: list[str] = field(init=False)
     _rare_models: list[str] = field(init=False)
     _waiting: list[_Request] = field(default_factory=list)
+    _rejected: RejectedCallers[_Request] = field(
+        default_factory=RejectedCallers
+    )
+    _news: AbsenceNews = field(default_factory=AbsenceNews)
     _running: list[tuple[float, EngineState, _Request]] = field(
         default_factory=list,
     )
@@ -341,10 +389,14 @@
             self._finish_requests(now)
             for request in self._arrivals(now):
                 self._receive(request, now)
-            self._start_waiting(now)
+            if workload.rejects_early:
+                self._start_early_rejecting(now)
+            else:
+                self._start_waiting(now)
             if now >= self._planned_at + workload.plan_seconds:
                 self._planned_at = now
                 self._issue_orders(now)
+                self._news.tell(self.scheduler, now)
             now += _STEP_SECONDS
 
     def never_served(self) -> list[str]:
@@ -445,8 +497,9 @@
             adapter,
             now,
             run_seconds,
-            now + kind.timeout,
+            now + min(kind.timeout, kind.patience),
             kind.retries,
+            now,
         )
 
     def _start_waiting(self, now: float) -> None:
@@ -465,6 +518,59 @@
                 self.scores_by_kind[request.kind.name].given_up += 1
         self._waiting = still_waiting
 
+    def _rejected_after(self, request: _Request, now: float) -> float | None:
+        """Return the Retry-After of a request that waits in vain.
+
+        :returns: ``None`` while it waits on.
+        """
+        seconds: float = 0
+        if request.model in self.scheduler.absent.loaded_at_by_model:
+            seconds = self._news.seconds_until_usable(
+                request.model, self.workload.cold_seconds, now
+            )
+        if now + seconds < request.waits_until:
+            return None
+        return seconds or _BRIEF_RETRY_SECONDS
+
+    def _reject(
+        self, request: _Request, retry_after: float, now: float
+    ) -> None:
+        score = self.scores_by_kind[request.kind.name]
+        score.held_seconds.append(now - request.attempted_at)
+        seconds_left = request.arrived_at + request.kind.timeout - now
+        if not request.retries or seconds_left <= 0:
+            score.given_up += 1
+            return
+        request.retries -= 1
+        self._rejected.add(
+            request,
+            retry_after,
+            seconds_left,
+            self.workload.cold_seconds,
+            now,
+        )
+
+    def _start_early_rejecting(self, now: float) -> None:
+        """Start, reject or keep the waiting requests, as instances decide."""
+        for returned in self._rejected.pop_returning(now):
+            returned.attempted_at = now
+            returned.waits_until = min(
+                now + returned.kind.patience,
+                returned.arrived_at + returned.kind.timeout,
+            )
+            self._waiting.append(returned)
+        still_waiting = []
+        for request in self._waiting:
+            engine = self._find_engine(request)
+            retry_after = self._rejected_after(request, now)
+            if engine:
+                self._start(request, engine, now)
+            elif retry_after is None:
+                still_waiting.append(request)
+            else:
+                self._reject(request, retry_after, now)
+        self._waiting = still_waiting
+
     def _start(
         self,
         request: _Request,
@@ -573,7 +679,7 @@
 
     def _group_waiting(self, now: float) -> list[GroupDemand]:
         by_key: dict[tuple[str, str], list[_Request]] = defaultdict(list)
-        for request in self._waiting:
+        for request in (*self._waiting, *self._rejected.reported(now)):
             by_key[request.model, request.adapter].append(request)
         return [
             _make_demand(model, adapter, requests, now)
