Let the stand-ins of cut_off.feature outlive a gateway that has ended

Cause: to find out whose connection it is, the proxy lists the descriptors of the cut gateway. Once that process had ended, os.listdir raised FileNotFoundError in the thread of the stand-ins, whose sockets were then closed twice: a later scenario of the same run (store.feature, 'An answer that states the era none changes nothing') failed with EBADF in its server.

Seen in one run of tests/platform in which files were edited meanwhile; the traceback names the call.

--- a/tests/support/cut_connections.py
+++ b/tests/support/cut_connections.py
@@ -79,7 +79,12 @@
 
 def _links(pid):
     folder = f'/proc/{pid}/fd'
-    for name in os.listdir(folder):
+    try:
+        names = os.listdir(folder)
+    except FileNotFoundError:
+        # The process has ended, and with it its connections.
+        return
+    for name in names:
         try:
             yield os.readlink(f'{folder}/{name}')
         except FileNotFoundError:
