Let several small models make room for a large one, and copy busy models

Cause: an engine was considered for a load only if the eviction of one model made room.

Change: the cheapest set of victims makes room. A model in use whose only copy is lost with one engine gets a second one in another zone if that loss would cost as many requests as the load of a missing model serves; the two take turns in the weight store, and fleets of fewer than ten engines get none.

--- a/cowsliprack/coordination/engine_index.py
+++ b/cowsliprack/coordination/engine_index.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from cowsliprack.state.engine_state import EngineState
+from cowsliprack.state.routing_table import ModelSpec
 from cowsliprack.state.target_registry import TargetState
 
 
@@ -57,6 +58,25 @@
         """
         return bool(self.copies_by_model[model] or self.holding_by_model[model])
 
+    def holders(self, model: str) -> dict[str, EngineState]:
+        """Return the engines that hold or cache a model, by id.
+
+        :param model: its name.
+        """
+        engines = (*self.holding_by_model[model], *self.copies_by_model[model])
+        return {engine.target_id: engine for engine in engines}
+
+    def is_copy_in_zone(self, engine: EngineState, model: ModelSpec) -> bool:
+        """Return whether a copy of a model lies in the zone of an engine.
+
+        :param engine: any engine.
+        :param model: the model.
+        """
+        zones = {
+            holder.record.zone for holder in self.holders(model.name).values()
+        }
+        return engine.record.zone in zones
+
     def is_missing(self, model: str) -> bool:
         """Return whether no engine holds, caches or loads a model.
 
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from operator import itemgetter
 
@@ -25,7 +25,9 @@
 )
 from cowsliprack.coordination.demand_rates import DemandRates
 from cowsliprack.coordination.engine_index import EngineIndex, index_engines
+from cowsliprack.coordination.eviction import cheapest_victims
 from cowsliprack.coordination.load_queue import expected_ends
+from cowsliprack.coordination.spare_copies import SpareCopies
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder, EngineState
 from cowsliprack.state.routing_table import EngineSpec, ModelSpec
@@ -109,6 +111,8 @@
     :param software_version: version of the engine; empty for any.
     :param outwaits_load: whether callers are expected to wait, or to be back,
         when a load from the weight store that begins now has ended.
+    :param is_spare: whether it is a second copy of a model in use, for the case
+        that its engine leaves.
     """
 
     model: str
@@ -118,6 +122,7 @@
     target_at: float = math.inf
     software_version: str = ''
     outwaits_load: bool = False
+    is_spare: bool = False
 
     def fits(self, engine: EngineState) -> bool:
         """Return whether an engine runs the software version.
@@ -163,6 +168,7 @@
     earlier_turns: Mapping[str, float] = field(default_factory=dict)
     earlier_loads: Mapping[str, float] = field(default_factory=dict)
     _lost_loads: LostColdLoads = field(default_factory=LostColdLoads)
+    _spares: SpareCopies = field(default_factory=SpareCopies)
     _surveys_open_since: float = math.inf
     _returns_until_by_model: dict[str, float] = field(default_factory=dict)
     _engine_ids: frozenset[str] = frozenset()
@@ -197,6 +203,11 @@
         candidates = [
             *self._waiting_candidates(waiting, now),
             *self._scale_up_candidates(),
+            *_spare_candidates(
+                self._spares.expected_losses(
+                    self._index, self.spec, self.rates, now
+                )
+            ),
             *_limited_candidates(waiting, self._index),
         ]
         in_order = [
@@ -560,6 +571,8 @@
         best.engine.draining_models.update(best.victims)
         best.engine.assigned_model = name
         best.engine.assigned_at = now
+        if best.engine.is_cold(name):
+            self._spares.was_last_spare = candidate.is_spare
         self._index.pending_models.add(name)
         return list(self._next_step(best.engine, now))
 
@@ -581,13 +594,22 @@
             )
         if engine.is_limited:
             load_seconds += _LIMITED_DELAY_SECONDS
+        if candidate.is_spare and self._index.is_copy_in_zone(engine, model):
+            load_seconds += model.cold_seconds
         if self._has_room(engine, model):
             yield _Placement(engine, (), load_seconds)
             return
-        for name in engine.adapters_by_model:
-            cost = self._eviction_cost(engine, name, candidate, now)
-            if math.isfinite(cost) and self._has_room(engine, model, name):
-                yield _Placement(engine, (name,), load_seconds + cost)
+        cost_by_name = {
+            name: self._eviction_cost(engine, name, candidate, now)
+            for name in engine.adapters_by_model
+        }
+        victims = cheapest_victims(
+            cost_by_name,
+            lambda without: self._has_room(engine, model, without),
+        )
+        if victims:
+            cost = sum(cost_by_name[name] for name in victims)
+            yield _Placement(engine, victims, load_seconds + cost)
 
     def _eviction_cost(
         self,
@@ -619,12 +641,12 @@
         self,
         engine: EngineState,
         model: ModelSpec,
-        without: str = '',
+        without: Collection[str] = (),
     ) -> bool:
         used = sum(
             self._size(name, len(adapters))
             for name, adapters in engine.adapters_by_model.items()
-            if name != without
+            if name not in without
         )
         return used + model.size <= self.spec.weights_memory
 
@@ -639,7 +661,8 @@
     def _may_load_cold(self, candidate: _LoadCandidate, now: float) -> bool:
         if not candidate.count and self._missing.waiting:
             # A load for an additional replica would serve no other model.
-            return False
+            if not candidate.is_spare or not self._spares.may_load():
+                return False
         if now < self._returns_until_by_model.get(candidate.model, now):
             return False
         if candidate.model in self.earlier_loads:
@@ -715,6 +738,16 @@
     return [engine for engine in engines if not engine.is_limited]
 
 
+def _spare_candidates(
+    lost_by_model: Mapping[str, float],
+) -> list[_LoadCandidate]:
+    """Return models in use whose only copy is lost with one engine."""
+    return [
+        _LoadCandidate(name, benefit=lost, is_spare=True)
+        for name, lost in lost_by_model.items()
+    ]
+
+
 def _limited_candidates(
     groups: list[GroupDemand], index: EngineIndex
 ) -> list[_LoadCandidate]:
