--- a/tests/steps/route_streams_steps.py
+++ b/tests/steps/route_streams_steps.py
@@ -271,7 +271,9 @@
 def when_asked(context, path):
     context.messages = []
     context.error = None
+    began_at = time.monotonic()
     anyio.run(_serve, context, path)
+    context.took = time.monotonic() - began_at
 
 
 async def _serve(context, path):
@@ -341,3 +343,53 @@
 @then('the engine got {count:d} requests')
 def then_requests(context, count):
     assert len(context.engine.heads) == count, context.engine.heads
+
+
+class _SlowEngine(_Engine):
+    """Engine that sends parts of a stream with pauses between them.
+
+    :param parts: sent after the first event; the last one again and again.
+    """
+
+    def __init__(self, parts, pause, *, ends):
+        self.parts = parts
+        self.pause = pause
+        self.ends = ends
+        super().__init__('', b'', b'')
+
+    def _answer(self, connection):
+        connection.recv(65536)
+        connection.sendall(_HEAD + _FIRST)
+        for part in self.parts:
+            time.sleep(self.pause)
+            connection.sendall(part)
+        while not self.ends:
+            time.sleep(self.pause)
+            try:
+                connection.sendall(self.parts[-1])
+            except OSError:
+                return
+
+
+@given('an engine that sends one of 4 events every {pause:g} seconds')
+def given_slow(context, pause):
+    parts = [b'id: %d\ndata: more\n\n' % number for number in (2, 3, 4)]
+    context.engine = _SlowEngine(parts, pause, ends=True)
+    context.add_cleanup(context.engine.listener.close)
+
+
+@given('an engine that sends a byte without an end every {pause:g} seconds')
+def given_dripping(context, pause):
+    context.engine = _SlowEngine([b'x'], pause, ends=False)
+    context.add_cleanup(context.engine.listener.close)
+
+
+@given('an engine that sends comments without end every {pause:g} seconds')
+def given_commenting(context, pause):
+    context.engine = _SlowEngine([b': still here\n\n'], pause, ends=False)
+    context.add_cleanup(context.engine.listener.close)
+
+
+@then('it has ended within {seconds:g} seconds')
+def then_ended(context, seconds):
+    assert context.took <= seconds, context.took
--- a/tests/transport/route_streams.feature
+++ b/tests/transport/route_streams.feature
@@ -95,3 +95,18 @@
       | inside the body     | chunks    | closes | /order/  | target_failed    | 1     |
       | inside the body     | a length  | closes | /stock/  | the whole answer | 2     |
       | inside the body     | chunks    | resets | /stock/  | the whole answer | 2     |
+
+  # The request's deadline is 5 seconds away.
+  Scenario Outline: An engine sends <what> every <pause> s, on <path>
+    Given an engine that sends <what> every <pause> seconds
+    When a caller asks for a stream at <path>
+    Then its response is <response> with the events <events>
+    And it has ended within <seconds> seconds
+
+    Examples:
+      | what                  | pause | path     | response | events  | seconds |
+      | one of 4 events       | 0.9   | /chat/   | complete | 1 2 3 4 | 5       |
+      | one of 4 events       | 0.9   | /report/ | complete | 1 2 3 4 | 5       |
+      | a byte without an end | 0.3   | /chat/   | broken   | 1       | 6       |
+      | a byte without an end | 0.3   | /report/ | broken   | 1       | 6       |
+      | comments without end  | 0.3   | /report/ | broken   | 1       | 6       |
