--- a/tests/steps/credit_asks_steps.py
+++ b/tests/steps/credit_asks_steps.py
@@ -111,7 +111,7 @@
     _answer(context)
 
 
-@then('it is {result} within {seconds:g} seconds')
+@then('the request is {result} within {seconds:g} seconds')
 def then_result(context, result, seconds):
     assert (context.retry_after is None) == (result == 'admitted'), (
         context.retry_after
--- a/tests/transport/credit_asks.feature
+++ b/tests/transport/credit_asks.feature
@@ -6,7 +6,7 @@
   Scenario Outline: A leader whose last view is <age> s old answers after <seconds> s
     Given an instance without credit whose leader was heard <age> seconds ago
     When a request needs credit and the leader answers after <seconds> seconds
-    Then it is <result> within <most> seconds
+    Then the request is <result> within <most> seconds
 
     Examples:
       | age | seconds | result   | most |
@@ -19,7 +19,7 @@
   Scenario: The leader changes while a request waits
     Given an instance without credit whose leader was heard 0.1 seconds ago
     When a request needs credit and another leader takes over after 0.1 seconds
-    Then it is admitted within 0.6 seconds
+    Then the request is admitted within 0.6 seconds
     And both leaders have been asked once
 
   Scenario: An answer that comes after the request has given up is credit
