--- a/tests/coordination/credit_shares.feature
+++ b/tests/coordination/credit_shares.feature
@@ -17,6 +17,11 @@
     Then no part is told
     And the leader may grant 17000 tokens in a window or more
 
+  Scenario: A limit whose parts would cover little of the demand is not divided
+    Given an organisation whose limit admits 450000 tokens in a window of 8 seconds
+    When 20 instances report a demand of 4000 tokens a second each
+    Then no part is told
+
   Scenario: Grants of the last window are left out
     Given the leader has granted 640000 tokens in the last window
     When 20 instances report a demand of 2000 tokens a second each
