Keep the origins of streams in the store, beyond a kill of all instances

Cause: which version began a stream was only in the memory of the instances. Keepers are chosen for the loss of a zone, not of all.

Ruled out: late or lost answers between instances (all answered that they do not know the stream); engines or models that are missing (new streams begin in the same second). One write a stream, or for each instance, would grow with the fleet: 18 to 195 writes at once.

Change: members send the streams that they begin to the leader, gathered for 0.1 s, only to leaders of message level 4; the leader writes all of them in one object each 0.5 s, 256 objects in turn, and only while several versions or services may have begun a stream. An instance that finds a stream nowhere else reads the objects, 50 times a second at most for all instances together. The version ages in the lease are bounded to 20 KB, as versions are texts of any length.

--- a/cowsliprack/coordination/lease_record.py
+++ b/cowsliprack/coordination/lease_record.py
@@ -24,6 +24,9 @@
 
 # Seconds since each software version of each service was seen.
 VersionAges = dict[str, dict[str, float]]
+# Largest version ages in the lease, as JSON. Versions are texts of any length
+# that targets state, and the store refuses large objects.
+_MAX_VERSION_BYTES = 20_000
 
 _log = structlog.get_logger('cowsliprack.lease')
 
@@ -148,9 +151,12 @@
             'predecessor_seconds': predecessor_seconds,
             'era': era,
         }
-        if version_ages:
-            body['version_ages'] = version_ages
-        return body
+        if not version_ages:
+            return body
+        if len(msgspec.json.encode(version_ages)) > _MAX_VERSION_BYTES:
+            _log.warning('version_ages_too_large', services=len(version_ages))
+            return body
+        return {**body, 'version_ages': version_ages}
 
 
 class LeaseObservation:
--- a/cowsliprack/coordination/stream_origins.py
+++ b/cowsliprack/coordination/stream_origins.py
@@ -10,7 +10,7 @@
 import math
 import zlib
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -142,6 +142,28 @@
             and entry.origin.service == service
         ]
 
+    def begun_since(
+        self,
+        services: Collection[str],
+        since: float,
+        *,
+        only_own: bool,
+    ) -> list[tuple[str, StreamOrigin]]:
+        """Return the streams of services that began after a time.
+
+        :param services: names of the services.
+        :param since: seconds.
+        :param only_own: whether to leave out those of other instances.
+        """
+        expires_after = since + ORIGIN_LIFETIME_SECONDS
+        return [
+            (key, entry.origin)
+            for key, entry in self._entries_by_key.items()
+            if entry.expires_at > expires_after
+            and entry.origin.service in services
+            and (entry.is_own or not only_own)
+        ]
+
 
 @dataclass(slots=True)
 class VersionHistory:
--- a/cowsliprack/platform/store.py
+++ b/cowsliprack/platform/store.py
@@ -3,7 +3,7 @@
 import random
 import re
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, TypeVar
 from urllib.parse import quote
@@ -144,7 +144,26 @@
         :raises StoreUnavailableError: no usable response.
         """
         asked_at = self._clock()
-        specs_by_name: dict[str, Any] = {}
+        objects, revision = await self._list_objects(kind)
+        specs_by_name = {entry.metadata.name: entry.spec for entry in objects}
+        return ReadResult(specs_by_name, revision, asked_at)
+
+    async def list(self, prefix: str) -> list[StoredObject]:
+        """Return the objects of a kind; content of another form is empty.
+
+        :param prefix: kind of the objects, with a slash.
+        :raises HistoryGoneError: as in ``list_kind``.
+        :raises StoreUnavailableError: no usable response.
+        """
+        objects, _ = await self._list_objects(prefix.rstrip('/'))
+        return [
+            self._stored_object(f'{prefix}{entry.metadata.name}', entry)
+            for entry in objects
+        ]
+
+    async def _list_objects(self, kind: str) -> tuple[Sequence[_Object], int]:
+        """Return the objects of a kind, and the version of the first page."""
+        found: dict[str, _Object] = {}
         after = ''
         revision = -1
         while True:
@@ -154,14 +173,12 @@
             if after:
                 self._require_era_of(revision)
             objects = _decode_objects(page.items, _Object)
-            specs_by_name.update(
-                (entry.metadata.name, entry.spec) for entry in objects
-            )
+            found.update((entry.metadata.name, entry) for entry in objects)
             # A watch that starts at the revision of the first page reports
             # changes made while later pages were read.
             revision = self._version(page.as_of) if revision < 0 else revision
             if not (page.has_more and objects):
-                return ReadResult(specs_by_name, revision, asked_at)
+                return list(found.values()), revision
             after = objects[-1].metadata.name
 
     async def watch_kind(
@@ -255,9 +272,11 @@
     def _to_stored_object(
         self, key: str, response: httpx.Response
     ) -> StoredObject:
-        stored = _decode(response, _Object)
-        spec = stored.spec if isinstance(stored.spec, dict) else {}
-        return StoredObject(key, self._version(stored.metadata.rev), spec)
+        return self._stored_object(key, _decode(response, _Object))
+
+    def _stored_object(self, key: str, decoded: _Object) -> StoredObject:
+        spec = decoded.spec if isinstance(decoded.spec, dict) else {}
+        return StoredObject(key, self._version(decoded.metadata.rev), spec)
 
     def _version(self, revision: int) -> int:
         """Return the version of a revision in the answer just received."""
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -327,6 +327,8 @@
 class StreamsBegun(PeerMessage, frozen=True):
     """Streams that the sender has sent to targets of one software version.
 
+    Sent to their keepers, and to leaders of message level 4 or higher.
+
     :param keys: see ``stream_origins.origin_key``.
     """
 
--- a/cowsliprack/protocol/message_level.py
+++ b/cowsliprack/protocol/message_level.py
@@ -14,13 +14,15 @@
 # 1: models that lie on no engine, in the views of a leader;
 # 2: when loads of such models that have not begun are due;
 # 3: the announcement of a new leader, compressed configurations, and parts of
-#    the organisations' limits by demand.
-MESSAGE_LEVEL = 3
+#    the organisations' limits by demand;
+# 4: streams that members begin, sent to the leader to be recorded.
+MESSAGE_LEVEL = 4
 ABSENCES_LEVEL = 1
 LOADS_DUE_LEVEL = 2
 ANNOUNCEMENT_LEVEL = 3
 CREDIT_SHARES_LEVEL = 3
 COMPRESSED_CONFIGURATION_LEVEL = 3
+RECORDED_STREAMS_LEVEL = 4
 _SEPARATOR = '.'
 _ID_LENGTH = 12
 
--- a/cowsliprack/transport/origin_exchange.py
+++ b/cowsliprack/transport/origin_exchange.py
@@ -23,6 +23,10 @@
 from cowsliprack.protocol.peer import AnyPeerMessage
 from cowsliprack.state.stream_origin import FoundOrigin, StreamOrigin
 from cowsliprack.state.target_registry import TargetRegistry
+from cowsliprack.transport.origin_recorder import (
+    OriginRecorder,
+    begun_messages,
+)
 
 # Longest wait for the answers of keepers; a round trip takes milliseconds, and
 # an instance that does not answer in this time is frozen, gone or cut off.
@@ -30,8 +34,9 @@
 # Time after which a leader to which nobody has reported is alone; others report
 # several times a second.
 _ALONE_SECONDS = 3
-# Origins in one message, about 6 KB.
-_MAX_BATCH = 200
+# Age of the streams that are recorded again when earlier ones may be missing:
+# the time without a leader, or the age of a copy of the store.
+_RECENT_SECONDS = 15
 
 # Instances that a log line names at most.
 _MAX_LOGGED_PEERS = 20
@@ -60,6 +65,7 @@
     :param instance_id: id of this instance.
     :param address: address at which other instances reach this one.
     :param deliver: sends a message to an instance (id, address, message).
+    :param recorder: keeps the origins in the store.
     :param clock: seconds; must keep running during suspension.
     :param split_services: returns the services that share a route with others.
     :param is_isolated: returns whether the list of targets may be out of date.
@@ -71,6 +77,7 @@
     instance_id: str
     address: str
     deliver: Deliver
+    recorder: OriginRecorder
     clock: Callable[[], float]
     split_services: Callable[[], set[str]] = set
     is_isolated: Callable[[], bool] = bool
@@ -96,6 +103,7 @@
         self.origins.record(key, origin, now, is_own=True)
         if origin.service in self._announced_services:
             self._announce([(key, origin)])
+            self.recorder.add(key, origin)
 
     def registry_changed(self, registry: TargetRegistry) -> None:
         """Apply a new list of targets.
@@ -128,6 +136,9 @@
         new = announced - self._announced_services
         self._announced_services = announced
         self._announce_own(new)
+        for service in new:
+            for key, origin in self.origins.own(service, now):
+                self.recorder.add(key, origin)
 
     def apply_peers(self, view: LeaderView) -> None:
         """Apply a new list of instances; new ones learn the own streams.
@@ -150,6 +161,7 @@
             self.history.join(view.version_ages, self.peers_at)
         self.update_announced()
         self._announce_own(self._announced_services)
+        self.recorder.leader_found()
 
     def inherit(
         self, inherited: tuple[str, Mapping[str, dict[str, float]]] | None
@@ -168,6 +180,25 @@
         self.history.join(version_ages, self.clock())
         self.update_announced()
 
+    def leader_changed(self) -> None:
+        """Send the latest own streams, which the last leader may have lost."""
+        for key, origin in self.recent(only_own=True):
+            self.recorder.add(key, origin)
+        self.recorder.leader_found()
+
+    def recent(self, *, only_own: bool) -> list[tuple[str, StreamOrigin]]:
+        """Return the announced streams that began lately.
+
+        :param only_own: whether to leave out those of other instances.
+        """
+        if not self._announced_services:
+            return []
+        return self.origins.begun_since(
+            self._announced_services,
+            self.clock() - _RECENT_SECONDS,
+            only_own=only_own,
+        )
+
     async def find(self, key: str, services: tuple[str, ...]) -> FoundOrigin:
         """Find out what may go on with a stream.
 
@@ -184,7 +215,20 @@
         question = await self._ask(key)
         if question.origin is not None:
             return FoundOrigin(question.origin, 'other instance')
-        return FoundOrigin(self._guess(services), 'only version')
+        guess = self._guess(services)
+        if guess is not None:
+            return FoundOrigin(guess, 'only version')
+        return FoundOrigin(await self._find_recorded(key, services), 'store')
+
+    async def _find_recorded(
+        self, key: str, services: tuple[str, ...]
+    ) -> StreamOrigin | None:
+        if self._announced_services.isdisjoint(services):
+            return None
+        recorded = await self.recorder.find(key)
+        if recorded is not None:
+            self.origins.record(key, recorded, self.clock(), is_own=False)
+        return recorded
 
     def _guess(self, services: tuple[str, ...]) -> StreamOrigin | None:
         """Return the only possible origin of streams; ``None`` if unsure."""
@@ -233,8 +277,12 @@
         """
         origin = StreamOrigin(message.service, message.software_version)
         now = self.clock()
+        is_leading = self.recorder.is_leading()
         for key in message.keys:
-            self.origins.record(key, origin, now, is_own=False)
+            if self.origins.find(key, now) != origin:
+                self.origins.record(key, origin, now, is_own=False)
+            if is_leading:
+                self.recorder.add(key, origin)
 
     def answer(self, question: OriginQuestion) -> None:
         """Answer the question of another instance.
@@ -298,18 +346,13 @@
             self._announce(self.origins.own(service, now))
 
     def _announce(self, begun: list[tuple[str, StreamOrigin]]) -> None:
-        keys_by_receiver: defaultdict[
-            tuple[PeerView, StreamOrigin], list[str]
+        begun_by_receiver: defaultdict[
+            PeerView, list[tuple[str, StreamOrigin]]
         ] = defaultdict(list)
         for key, origin in begun:
             for peer in keepers(key, self.peers):
                 if peer.instance_id != self.instance_id:
-                    keys_by_receiver[peer, origin].append(key)
-        for (peer, origin), keys in keys_by_receiver.items():
-            for first in range(0, len(keys), _MAX_BATCH):
-                message = StreamsBegun(
-                    origin.service,
-                    origin.software_version,
-                    tuple(keys[first : first + _MAX_BATCH]),
-                )
+                    begun_by_receiver[peer].append((key, origin))
+        for peer, kept in begun_by_receiver.items():
+            for message in begun_messages(kept):
                 self.deliver(peer.instance_id, peer.address, message)
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -28,6 +28,7 @@
 )
 from cowsliprack.protocol.message_level import (
     CREDIT_SHARES_LEVEL,
+    RECORDED_STREAMS_LEVEL,
     knows_announcements,
     message_level,
 )
@@ -41,6 +42,7 @@
 from cowsliprack.transport.lease_calls import execute_lease_action
 from cowsliprack.transport.message_guard import MessageGuard
 from cowsliprack.transport.origin_exchange import OriginExchange
+from cowsliprack.transport.origin_recorder import OriginRecorder
 from cowsliprack.transport.reach_watch import ReachWatch
 from cowsliprack.transport.region_context import RegionContext
 from cowsliprack.transport.region_notices import RegionNotices
@@ -111,6 +113,14 @@
             context.instance_id,
             context.address,
             self._deliver,
+            OriginRecorder(
+                context.store,
+                context.clock,
+                self.is_leading,
+                self._send_begun,
+                lambda: self.origins.recent(only_own=False),
+                lambda: len(self.origins.peers),
+            ),
             context.clock,
             lambda: context.table().split_services(),
             lambda: is_isolated(
@@ -163,6 +173,7 @@
             tasks.start_soon(self._receive)
             tasks.start_soon(self._report)
             tasks.start_soon(self.passing.run)
+            tasks.start_soon(self.origins.recorder.run)
             tasks.start_soon(self.reach_watch.run, self.demand_changed)
             await self._lead()
 
@@ -333,6 +344,8 @@
             return
         if is_new and view.instance_id != self.context.instance_id:
             self._notices.follow(view.fencing)
+        if is_new:
+            self.origins.leader_changed()
         self._view_fencing = view.fencing
         self._view_sequence = view.sequence
         self._leader_fencing = max(self._leader_fencing, view.fencing)
@@ -378,22 +391,27 @@
         """Apply parts of limits; a leader of an earlier build knows of none."""
         context = self.context
         shares = view.credit
-        if not self._is_dividing(view.instance_id):
+        if not self._leader_knows(CREDIT_SHARES_LEVEL, view.instance_id):
             shares = ()
         if shares is not None:
             context.credit.apply_shares(
                 shares, context.table().organisations_by_name, now
             )
 
-    def _is_dividing(self, leader_id: str) -> bool:
+    def _leader_knows(self, level: int, leader_id: str) -> bool:
         if leader_id == self.context.instance_id:
             return True
         return any(
-            peer.instance_id == leader_id
-            and message_level(peer.boot) >= CREDIT_SHARES_LEVEL
+            peer.instance_id == leader_id and message_level(peer.boot) >= level
             for peer in self.origins.peers
         )
 
+    def _send_begun(self, message: StreamsBegun) -> bool:
+        """Send streams to a leader that records them; return whether it is."""
+        if not self._leader_knows(RECORDED_STREAMS_LEVEL, self._leader_id):
+            return False
+        return self._deliver(self._leader_id, self._leader_address, message)
+
     def _announce(self, notice: AnyPoisonNotice) -> None:
         """Send a notice to all other instances through the leader."""
         if self.term is None:
@@ -448,6 +466,7 @@
             context.credit.apply_shares(
                 (), context.table().organisations_by_name, now
             )
+        is_dividing = self._leader_knows(CREDIT_SHARES_LEVEL, self._leader_id)
         uses = context.credit.uses(now)
         self._sequence += 1
         report = MemberReport(
@@ -468,7 +487,7 @@
             limits=context.target_selector.limits.uses(now),
             peers_digest=self.origins.peers_digest,
             cut_off=self.reach_watch.has_lost_engines(),
-            credit=uses if self._is_dividing(self._leader_id) else (),
+            credit=uses if is_dividing else (),
         )
         is_silent = now - context.fleet.updated_at > _RECONNECT_AFTER_SECONDS
         if is_silent and now - self._reconnected_at > _RECONNECT_AFTER_SECONDS:
--- a/tests/coordination/lease.feature
+++ b/tests/coordination/lease.feature
@@ -267,6 +267,13 @@
     When c reads the lease, after the first start
     Then c has inherited no software versions
 
+  Scenario: Software versions that are too large for the store stay out of the lease
+    Given a software version of 20000 letters, known by a
+    And a leads
+    When both run for 10 seconds
+    Then a has the role leader
+    And b has inherited no software versions
+
   Scenario Outline: No lease object, after <start>
     Given the store has no lease object
     When c reads the lease, after <start>
--- a/tests/platform/stream_versions.feature
+++ b/tests/platform/stream_versions.feature
@@ -14,6 +14,14 @@
     Then no stream goes on at another software version
     And engines of v1 and v2 began some of them
 
+  Scenario: All gateways start again while the engines run two versions
+    Given e2 runs another software version
+    When 8 streams of m0 have run for 1.5 seconds at g1
+    And g1 and g2 are killed and start again
+    And the callers go on at g1 and g2
+    Then each stream was completed by the software version that began it
+    And engines of v1 and v2 began some of them
+
   Scenario: All gateways start again while the engines run one version
     When 8 streams of m0 have run for 0.3 seconds at g1
     And g1 and g2 are killed and start again
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -138,6 +138,12 @@
     simulation.join(name, version_ages=lambda: context.ages)
 
 
+@given('a software version of {count:d} letters, known by {name}')
+def given_long_version(context, count, name):
+    ages = {'s': {'v' * count: 0.0}}
+    context.simulation.join(name, version_ages=lambda: ages)
+
+
 @given('software versions in the lease as an entry that is {entry}')
 def given_odd_versions(context, entry):
     simulation = context.simulation
--- a/tests/steps/origin_exchange_steps.py
+++ b/tests/steps/origin_exchange_steps.py
@@ -85,6 +85,12 @@
     context.world.cut_zones = set(zones.split(', '))
 
 
+@given('the targets have been read again')
+def given_read_again(context):
+    context.world.run_versions(context.world.versions)
+
+
+@given('{seconds:d} seconds have passed')
 @when('{seconds:d} seconds pass')
 def when_passed(context, seconds):
     context.world.now += seconds
--- a/tests/support/object_store.py
+++ b/tests/support/object_store.py
@@ -12,6 +12,9 @@
     """
 
     era = 0
+    # Calls of each kind that were answered.
+    lists = 0
+    writes = 0
 
     def __init__(self, faults=()):
         self.objects_by_key = {}
@@ -31,6 +34,9 @@
         return self.call(self._delete, key, expected_version)
 
     async def list(self, prefix):
+        if self.faults[:1] == ['down']:
+            raise StoreUnavailableError('down')
+        self.lists += 1
         objects = self.objects_by_key.values()
         return [found for found in objects if found.key.startswith(prefix)]
 
@@ -53,6 +59,7 @@
     def _put(self, key, body, expected_version):
         self._check(key, expected_version)
         self.version += 1
+        self.writes += 1
         self.objects_by_key[key] = StoredObject(key, self.version, body)
         return self.objects_by_key[key]
 
--- a/tests/support/origin_world.py
+++ b/tests/support/origin_world.py
@@ -14,6 +14,8 @@
 from cowsliprack.state.stream_origin import StreamOrigin
 from cowsliprack.state.target_registry import TargetRegistry
 from cowsliprack.transport.origin_exchange import OriginExchange
+from cowsliprack.transport.origin_recorder import OriginRecorder
+from tests.support.object_store import InMemoryStore
 from tests.support.routed import target_record
 
 SERVICE = 's'
@@ -31,6 +33,12 @@
         self.split = set()
         self.cut_zones = set()
         self.isolated = set()
+        self.leader = _LEADER
+        self.store = InMemoryStore()
+        # Instances of the region, if they are more than the simulated ones.
+        self.instance_count = 0
+        # As of the last call of ``copy_store``.
+        self.copy = {}
         self.sent = 0
         self.exchanges = {}
         self.versions = []
@@ -50,11 +58,51 @@
             name,
             name,
             deliver,
+            self._create_recorder(name),
             lambda: self.now,
             lambda: self.split,
             lambda: name in self.isolated,
         )
 
+    def _create_recorder(self, name):
+        def send_to_leader(message):
+            if self.leader:
+                self._deliver(name, self.leader, message)
+            return bool(self.leader)
+
+        return OriginRecorder(
+            self.store,
+            lambda: self.now,
+            lambda: name == self.leader,
+            send_to_leader,
+            lambda: self.exchanges[name].recent(only_own=False),
+            lambda: self.instance_count or len(self.exchanges),
+        )
+
+    async def flush(self):
+        """Let the members send their streams, and the leader write them."""
+        for name, exchange in self.exchanges.items():
+            if name != self.leader:
+                await exchange.recorder.flush()
+        if self.leader:
+            await self.exchanges[self.leader].recorder.flush()
+
+    def lead(self, name):
+        """Let an instance lead, as all others learn; empty for none."""
+        self.leader = name
+        if name:
+            for exchange in self.exchanges.values():
+                exchange.leader_changed()
+
+    def copy_store(self):
+        """Copy the content of the store."""
+        self.copy = dict(self.store.objects_by_key)
+
+    def restore_store(self):
+        """Let the store come back from its copy in a new era."""
+        self.store.objects_by_key = dict(self.copy)
+        self.store.era += 1
+
     def run_versions(self, versions):
         """Set the software version of each target."""
         self.versions = versions
@@ -88,12 +136,12 @@
             PeerView(name, name, name[0], self._boots[name])
             for name in sorted(self.exchanges)
         )
-        ages = self.exchanges[_LEADER].version_ages()
+        ages = self.exchanges[self.leader].version_ages()
         view = LeaderView(
             1,
             1,
-            _LEADER,
-            _LEADER,
+            self.leader,
+            self.leader,
             peers=peers,
             peers_digest=next(self._numbers),
             version_ages=ages,
@@ -113,7 +161,7 @@
 
     def restart_all(self):
         """Replace all instances; each reads the lease that the leader left."""
-        ages = self.exchanges[_LEADER].version_ages()
+        ages = self.exchanges[self.leader].version_ages()
         for name in list(self.exchanges):
             self.restart(name)
             self.exchanges[name].inherit(('write', ages))
--- a/tests/support/routed.py
+++ b/tests/support/routed.py
@@ -6,8 +6,10 @@
 from cowsliprack.protocol.dialect import RequestMetadata
 from cowsliprack.state.target_registry import TargetRecord, TargetState
 from cowsliprack.transport.origin_exchange import OriginExchange
+from cowsliprack.transport.origin_recorder import OriginRecorder
 from cowsliprack.transport.routed_request import RoutedRequest
 from tests.support.gateway_cluster import HOST, configuration
+from tests.support.object_store import InMemoryStore
 
 TABLE = decode_configuration(configuration())
 
@@ -46,4 +48,9 @@
 
 def lone_origins():
     """Return the origins of streams of an instance without others."""
-    return OriginExchange('g1', '', lambda *_message: None, time.monotonic)
+    recorder = OriginRecorder(
+        InMemoryStore(), time.monotonic, bool, lambda _message: False, tuple
+    )
+    return OriginExchange(
+        'g1', '', lambda *_message: None, recorder, time.monotonic
+    )
