Free what a failed request has read at once

Cause: the error of a request referred to itself, by its traceback and the list of failures in the frame that raised it, and so did all that was read from the target, 8 MB at most, until Python's collector found the cycle. The frames of the cancelled task that waits for the caller's disconnection kept the request and the rest of its stream in the same way.

Ruled out: the client and the relay (no memory kept by 6 requests through the relay alone, with the collector off).

Test: bounded_body.feature, 2 scenarios that failed before: 34.8 MB kept of 4 requests, and 4.3 MB of 4 streams, with the collector off; both under 2 MB now.

--- a/cowsliprack/transport/route_server.py
+++ b/cowsliprack/transport/route_server.py
@@ -262,7 +262,11 @@
         outcome = 'caller_left'
         failures: list[ServingError] = []
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_cancel_on_disconnect, request, tasks.cancel_scope)
+            # The frames of a cancelled task are kept until the next garbage
+            # collection, so they do not refer to the request.
+            tasks.start_soon(
+                _cancel_on_disconnect, request.exchange, tasks.cancel_scope
+            )
             try:
                 await self.relay.serve(request)
                 outcome = 'answered'
@@ -270,7 +274,9 @@
                 failures.append(error)
             tasks.cancel_scope.cancel()
         if failures:
-            raise failures[0]
+            # An error that its own traceback refers to is kept, with all that
+            # was read from the target, until the next garbage collection.
+            raise failures.pop()
         return outcome
 
     async def _reject(
@@ -351,9 +357,9 @@
 
 
 async def _cancel_on_disconnect(
-    request: RoutedRequest, scope: anyio.CancelScope
+    exchange: Exchange, scope: anyio.CancelScope
 ) -> None:
-    await request.exchange.wait_for_disconnect()
+    await exchange.wait_for_disconnect()
     scope.cancel()
 
 
--- a/tests/steps/bounded_body_steps.py
+++ b/tests/steps/bounded_body_steps.py
@@ -2,14 +2,18 @@
 
 import asyncio
 import contextlib
+import gc
 import time
+import tracemalloc
 
 import httpx
 from behave import given, then, when
 
 from cowsliprack.coordination.fleet_view import FleetView
+from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.exceptions import ServingError, TargetError
+from cowsliprack.metrics import Metrics
 from cowsliprack.platform.engine_client import EngineClient
 from cowsliprack.platform.headers import PLATFORM_DIALECT
 from cowsliprack.protocol.engine import OrderPreconditions
@@ -20,7 +24,9 @@
 from cowsliprack.transport.exchange import exchange_from_scope
 from cowsliprack.transport.poison_watch import PoisonWatch
 from cowsliprack.transport.route_relay import RouteRelay
+from cowsliprack.transport.route_server import RouteServer
 from cowsliprack.transport.target_client import TargetClient
+from tests.support.gateway_cluster import KEY
 from tests.support.routed import (
     TABLE,
     lone_origins,
@@ -150,40 +156,50 @@
         return self._record
 
 
-async def _forward(context, address, path, service):
-    async def send(_message):
-        await asyncio.sleep(0)
+async def _send(_message):
+    await asyncio.sleep(0)
 
-    record = target_record('e1', address=address)
-    context.selector = TargetSelector('z')
-    scope = {
+
+def _scope(path):
+    return {
         'method': 'GET',
         'path': path,
         'query_string': b'',
-        'headers': [(b'host', b'desk.example'), (b'x-attempt-id', b'id')],
+        'headers': [
+            (b'host', b'desk.example'),
+            (b'x-attempt-id', b'id'),
+            (b'x-key', KEY.encode()),
+        ],
     }
-    poison = PoisonWatch(TargetRegistry(), time.monotonic)
+
+
+def _relay(context, client, address):
+    context.selector = TargetSelector('z')
+    return RouteRelay(
+        client=client,
+        dialect=PLATFORM_DIALECT,
+        fleet=FleetView(),
+        target_selector=context.selector,
+        finder=_Finder(target_record('e1', address=address)),
+        poison=PoisonWatch(TargetRegistry(), time.monotonic),
+        origins=lone_origins(),
+        passing=None,
+        apply_retry_limit=lambda _budget: None,
+        table=lambda: TABLE,
+        demand_changed=lambda: None,
+        clock=time.monotonic,
+    )
+
+
+async def _forward(context, address, path, service):
     async with httpx.AsyncClient(transport=CheckedTransport()) as client:
-        relay = RouteRelay(
-            client=client,
-            dialect=PLATFORM_DIALECT,
-            fleet=FleetView(),
-            target_selector=context.selector,
-            finder=_Finder(record),
-            poison=poison,
-            origins=lone_origins(),
-            passing=None,
-            apply_retry_limit=lambda _budget: None,
-            table=lambda: TABLE,
-            demand_changed=lambda: None,
-            clock=time.monotonic,
-        )
+        relay = _relay(context, client, address)
         request = routed_request(
             path,
             service,
             time.monotonic(),
             _ENDLESS_SECONDS * 2,
-            exchange=exchange_from_scope(scope, None, send),
+            exchange=exchange_from_scope(_scope(path), None, _send),
         )
         try:
             await relay.serve(request)
@@ -211,6 +227,56 @@
     return 'cancelled'
 
 
+async def _grant(_organisation, _tokens):
+    return None
+
+
+async def _serve(context, address):
+    """Let an instance serve requests one after the other."""
+    messages = []
+
+    async def receive():
+        if messages:
+            return messages.pop()
+        return await asyncio.Future()
+
+    async with httpx.AsyncClient(transport=CheckedTransport()) as client:
+        server = RouteServer(
+            dialect=PLATFORM_DIALECT,
+            relay=_relay(context, client, address),
+            freshness=Freshness(60, time.monotonic()),
+            credit=None,
+            metrics=Metrics(),
+            table=lambda: TABLE,
+            reserve=_grant,
+            closing=bool,
+            stopped=bool,
+            clock=time.monotonic,
+        )
+        for _ in range(context.count):
+            messages.append({'type': 'http.request', 'body': b''})
+            await server(_scope(context.path), receive, _send)
+
+
+@when('an instance serves {count:d} requests for {path}')
+def when_served(context, count, path):
+    context.count = count
+    context.path = path
+    # Only what nothing refers to any more is freed at once.
+    gc.collect()
+    gc.disable()
+    context.add_cleanup(gc.enable)
+    tracemalloc.start()
+    context.add_cleanup(tracemalloc.stop)
+    asyncio.run(_call(context, _serve))
+    context.kept_bytes, _ = tracemalloc.get_traced_memory()
+
+
+@then('it keeps at most {megabytes:d} MB of their bytes')
+def then_kept(context, megabytes):
+    assert context.kept_bytes <= megabytes * 1_000_000, context.kept_bytes
+
+
 _CALLS = {
     'a survey': _survey,
     'an order': _order,
--- a/tests/transport/bounded_body.feature
+++ b/tests/transport/bounded_body.feature
@@ -23,6 +23,16 @@
       | a stream                   | with an endless first event    | target_failed  | 16        |
       | a stream                   | with an endless second event   | stream_broken  | 16        |
 
+  Scenario Outline: What a failed request has read is freed at once: <path>
+    Given a target whose response body in chunks never ends
+    When an instance serves 4 requests for <path>
+    Then it keeps at most 2 MB of their bytes
+
+    Examples:
+      | path      |
+      | /stock/1  |
+      | /report/1 |
+
   Scenario: An engine that only sends parts of an event counts as silent
     Given a target whose response body with parts of an event never ends
     When it gets a stream
