Read no body of a health check

Cause: the answer to a health check was read to its end without a bound on its size, for 0.4 s. A target that sends bytes without end filled the memory of the instance and counted as not reached, so that with others like it the service counted as cut off. All other reads of targets were bounded.

Test: bounded_body.feature, two rows "a health check" that failed before (not reached).

--- a/cowsliprack/transport/reach_watch.py
+++ b/cowsliprack/transport/reach_watch.py
@@ -97,11 +97,25 @@
     ) -> None:
         """Add the target to the reached ones if it gives any answer."""
         url = f'http://{record.address}{service.health_path}'
-        request = httpx.Request('GET', url, extensions={'fresh': True})
-        try:
-            with self.running_time.fail_after(_CHECK_TIMEOUT_SECONDS):
-                response = await self.client.send(request)
-        except (httpx.HTTPError, TimeoutError):
-            return
-        await response.aclose()
-        reached_ids.add(record.target_id)
+        if await is_answering(self.client, self.running_time, url):
+            reached_ids.add(record.target_id)
+
+
+async def is_answering(
+    client: httpx.AsyncClient, running_time: RunningTime, url: str
+) -> bool:
+    """Return whether a new connection gets the head of any answer.
+
+    :param client: HTTP client for targets.
+    :param running_time: extends the timeout.
+    :param url: of the health check.
+    """
+    request = httpx.Request('GET', url, extensions={'fresh': True})
+    try:
+        with running_time.fail_after(_CHECK_TIMEOUT_SECONDS):
+            # The body says nothing more, and may never end.
+            response = await client.send(request, stream=True)
+    except (httpx.HTTPError, TimeoutError):
+        return False
+    await response.aclose()
+    return True
--- a/tests/steps/bounded_body_steps.py
+++ b/tests/steps/bounded_body_steps.py
@@ -23,8 +23,10 @@
 from cowsliprack.transport.checked_transport import CheckedTransport
 from cowsliprack.transport.exchange import exchange_from_scope
 from cowsliprack.transport.poison_watch import PoisonWatch
+from cowsliprack.transport.reach_watch import is_answering
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.route_server import RouteServer
+from cowsliprack.transport.running_time import RunningTime
 from cowsliprack.transport.target_client import TargetClient
 from tests.support.gateway_cluster import KEY
 from tests.support.routed import (
@@ -128,6 +130,14 @@
     return answer.value
 
 
+async def _health_check(_context, address):
+    async with httpx.AsyncClient(transport=CheckedTransport()) as client:
+        is_answered = await is_answering(
+            client, RunningTime(), f'http://{address}/health'
+        )
+    return 'reached' if is_answered else 'not reached'
+
+
 async def _older_report(_context, address):
     client = TargetClient()
     try:
@@ -280,6 +290,7 @@
 _CALLS = {
     'a survey': _survey,
     'an order': _order,
+    'a health check': _health_check,
     'a report of the older path': _older_report,
     'an order of the older path': _older_order,
     'a repeatable request': _request,
--- a/tests/transport/bounded_body.feature
+++ b/tests/transport/bounded_body.feature
@@ -15,6 +15,8 @@
       | a survey                   | in chunks                      | no report      | 16        |
       | a survey                   | without a length               | no report      | 16        |
       | an order                   | in chunks                      | unknown        | 16        |
+      | a health check             | in chunks                      | reached        | 16        |
+      | a health check             | without a length               | reached        | 16        |
       | a report of the older path | in chunks                      | may have run   | 16        |
       | an order of the older path | in chunks                      | unknown        | 16        |
       | a repeatable request       | in chunks                      | target_failed  | 32        |
