Bound the bytes of all unfinished answers of an instance

With as many faulty targets as there are places, an instance needs more memory than it has.

Tests: bounded_body.feature: all answers of an instance, the choice of the largest, a stalled one.

--- a/cowsliprack/transport/answer_relay.py
+++ b/cowsliprack/transport/answer_relay.py
@@ -12,7 +12,11 @@
     StreamError,
     format_chunk,
 )
-from cowsliprack.transport.bounded_body import MAX_ANSWER_BYTES
+from cowsliprack.transport.bounded_body import (
+    MAX_ANSWER_BYTES,
+    AnswerMemory,
+    read_chunks,
+)
 from cowsliprack.transport.exchange import Exchange
 from cowsliprack.transport.target_client import TargetResponse
 
@@ -58,6 +62,7 @@
 class AnswerRelay:
     """State of one answer over all attempts.
 
+    :param answers: the unfinished answers of all requests.
     :param streams: the caller requested server-sent events.
     :param is_model: a model engine answers, which returns the request id.
     :param output_tokens: relayed or buffered so far.
@@ -65,6 +70,7 @@
     """
 
     exchange: Exchange
+    answers: AnswerMemory
     streams: bool
     is_model: bool = False
     complete: bool = False
@@ -102,7 +108,9 @@
             await self._relay_events(response, request_id)
             return
         _require_framing(response, self.exchange.method)
-        body = await self._read_body(response)
+        body = await read_chunks(
+            response.chunks, MAX_ANSWER_BYTES, self.answers
+        )
         _raise_if_refused(response, body)
         if self.exchange.started:
             raise TargetError(
@@ -166,17 +174,6 @@
             self._last_position = event.position
             self.output_tokens = event.generated or self.output_tokens + 1
 
-    async def _read_body(self, response: TargetResponse) -> bytes:
-        buffered = bytearray()
-        async for chunk in response.chunks:
-            buffered.extend(chunk)
-            if len(buffered) > MAX_ANSWER_BYTES:
-                raise TargetError(
-                    f'the answer is larger than {MAX_ANSWER_BYTES} bytes',
-                    Ran.may_have_run,
-                )
-        return bytes(buffered)
-
 
 def _find_header(response: TargetResponse, name: str) -> str:
     for header, text in response.headers:
--- a/cowsliprack/transport/forward.py
+++ b/cowsliprack/transport/forward.py
@@ -22,6 +22,7 @@
 from cowsliprack.protocol.credentials import HeaderList
 from cowsliprack.protocol.sse import format_error
 from cowsliprack.transport.answer_relay import AnswerRelay, NotRunError
+from cowsliprack.transport.bounded_body import AnswerMemory
 from cowsliprack.transport.dispatch_loop import DispatchLoop, Reply
 from cowsliprack.transport.exchange import Exchange
 from cowsliprack.transport.keyed_runs import KeyedRequest, KeyedRuns
@@ -108,6 +109,7 @@
     """Admits requests, sends them to targets and retries them.
 
     :param clock: monotonic, seconds.
+    :param answers: the unfinished answers of all requests.
     """
 
     dispatch_loop: DispatchLoop
@@ -115,6 +117,7 @@
     keyed_runs: KeyedRuns
     metrics: Metrics
     clock: Callable[[], float]
+    answers: AnswerMemory = field(default_factory=AnswerMemory)
 
     async def forward(self, job: ForwardJob) -> None:
         """Serve one request to completion.
@@ -124,7 +127,7 @@
             was sent to the caller.
         """
         if job.idempotency_key is None or job.request.repeatable:
-            await self._serve(job, _new_relay(job))
+            await self._serve(job, _new_relay(job, self.answers))
             return
         claim_or_answer = await self.keyed_runs.claim(_keyed_request(job))
         if isinstance(claim_or_answer, RecordedAnswer):
@@ -141,7 +144,7 @@
     async def _serve_claimed(self, job: ForwardJob, claim: Claim) -> None:
         not_run = False
         try:
-            await self._serve(job, _new_relay(job))
+            await self._serve(job, _new_relay(job, self.answers))
         except ServingError as error:
             not_run = error.ran is Ran.not_run
             raise
@@ -313,8 +316,8 @@
         scope.cancel()
 
 
-def _new_relay(job: ForwardJob) -> AnswerRelay:
-    return AnswerRelay(job.exchange, job.streams, job.request.is_model)
+def _new_relay(job: ForwardJob, answers: AnswerMemory) -> AnswerRelay:
+    return AnswerRelay(job.exchange, answers, job.streams, job.request.is_model)
 
 
 def _attempt_failure(
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -30,7 +30,12 @@
 from cowsliprack.state.store_version import revision_of
 from cowsliprack.state.stream_origin import StreamOrigin
 from cowsliprack.state.target_registry import TargetRecord
-from cowsliprack.transport.bounded_body import MAX_ANSWER_BYTES, read_body
+from cowsliprack.transport.bounded_body import (
+    MAX_ANSWER_BYTES,
+    AnswerMemory,
+    AnswerReader,
+    read_body,
+)
 from cowsliprack.transport.origin_exchange import OriginExchange
 from cowsliprack.transport.poison_watch import PoisonWatch
 from cowsliprack.transport.request_passing import RequestPassing
@@ -78,6 +83,7 @@
     :param clock: seconds; must keep running during suspension.
     :param instances: returns the number of instances that may send to the same
         targets.
+    :param answers: the unfinished answers of all requests.
     :param ended: whether the instance stops and no request may go on.
     """
 
@@ -96,6 +102,7 @@
     instances: Callable[[], int] = int
     rng: random.Random = field(default_factory=random.Random)
     budgets_by_service: dict[str, RetryBudget] = field(default_factory=dict)
+    answers: AnswerMemory = field(default_factory=AnswerMemory)
     ended: bool = False
     _scopes: set[anyio.CancelScope] = field(default_factory=set)
 
@@ -482,7 +489,9 @@
             if _has_framing(response):
                 self.poison.on_answered(request.digests, sent_at)
             return
-        body = await _read_answer(request.exchange.method, response)
+        body = await _read_answer(
+            request.exchange.method, response, self.answers
+        )
         if status >= _MIN_SERVER_ERROR_STATUS and self._may_retry_elsewhere(
             request, target
         ):
@@ -583,19 +592,40 @@
             )
         request.content_type = content_type
         has_events = False
-        async for complete_events in _whole_events(response, splitter):
-            has_events = True
-            self._record_events(request, target, sent_at)
-            request.begun_version = target.software_version
-            if not exchange.started:
-                await exchange.start_raw(response.status_code, returned)
-            await exchange.write(complete_events)
+        with self.answers.reading() as reader:
+            async for complete_events in self._whole_events(
+                response, splitter, reader
+            ):
+                has_events = True
+                self._record_events(request, target, sent_at)
+                request.begun_version = target.software_version
+                if not exchange.started:
+                    await exchange.start_raw(response.status_code, returned)
+                await exchange.write(complete_events)
         if splitter.buffer or not (has_events or _has_framing(response)):
             raise httpx.ReadError('the stream ended inside an event')
         if not exchange.started:
             await exchange.start_raw(response.status_code, returned)
         await exchange.write(b'', more=False)
 
+    async def _whole_events(
+        self,
+        response: httpx.Response,
+        splitter: EventSplitter,
+        reader: AnswerReader,
+    ) -> AsyncIterator[bytes]:
+        """Yield the bytes of whole events of a stream as they arrive."""
+        async for chunk in response.aiter_raw():
+            complete_events = splitter.feed(chunk)
+            if len(splitter.buffer) > MAX_EVENT_BYTES:
+                raise TargetError(
+                    f'an event is larger than {MAX_EVENT_BYTES} bytes',
+                    Ran.may_have_run,
+                )
+            self.answers.keep(reader, len(splitter.buffer))
+            if complete_events:
+                yield complete_events
+
     def _record_events(
         self,
         request: RoutedRequest,
@@ -620,22 +650,6 @@
         self.target_selector.record_success(target.target_id, now - sent_at)
 
 
-async def _whole_events(
-    response: httpx.Response,
-    splitter: EventSplitter,
-) -> AsyncIterator[bytes]:
-    """Yield the bytes of whole events of a stream as they arrive."""
-    async for chunk in response.aiter_raw():
-        complete_events = splitter.feed(chunk)
-        if len(splitter.buffer) > MAX_EVENT_BYTES:
-            raise TargetError(
-                f'an event is larger than {MAX_EVENT_BYTES} bytes',
-                Ran.may_have_run,
-            )
-        if complete_events:
-            yield complete_events
-
-
 def _has_framing(response: httpx.Response) -> bool:
     """Return whether the end of a response can be told from a broken one."""
     return bool(
@@ -643,7 +657,9 @@
     )
 
 
-async def _read_answer(method: str, response: httpx.Response) -> bytes:
+async def _read_answer(
+    method: str, response: httpx.Response, answers: AnswerMemory
+) -> bytes:
     """Return the whole body of an answer that is not a stream.
 
     An answer without a length ends with its connection, so nothing but the
@@ -651,7 +667,7 @@
 
     :raises httpx.ReadError: the answer ended early.
     """
-    body = await read_body(response, MAX_ANSWER_BYTES)
+    body = await read_body(response, MAX_ANSWER_BYTES, answers)
     has_no_body = method == 'HEAD' or response.status_code in _EMPTY_STATUSES
     if not (body or has_no_body or _has_framing(response)):
         raise httpx.ReadError('the answer ended before its body')
--- a/tests/steps/bounded_body_steps.py
+++ b/tests/steps/bounded_body_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import gc
+import itertools
 import time
 import tracemalloc
 
@@ -20,6 +21,7 @@
 from cowsliprack.protocol.target import Order, OrderKind
 from cowsliprack.state.engine_state import EngineOrder
 from cowsliprack.state.target_registry import TargetRegistry
+from cowsliprack.transport.bounded_body import AnswerMemory, read_body
 from cowsliprack.transport.checked_transport import CheckedTransport
 from cowsliprack.transport.exchange import exchange_from_scope
 from cowsliprack.transport.poison_watch import PoisonWatch
@@ -241,6 +243,132 @@
     return None
 
 
+def _server(relay):
+    return RouteServer(
+        dialect=PLATFORM_DIALECT,
+        relay=relay,
+        freshness=Freshness(60, time.monotonic()),
+        credit=None,
+        metrics=Metrics(),
+        table=lambda: TABLE,
+        reserve=_grant,
+        closing=bool,
+        stopped=bool,
+        clock=time.monotonic,
+    )
+
+
+async def _serve_at_once(context, address):
+    """Let an instance serve requests at once, and watch what it keeps."""
+    async with httpx.AsyncClient(transport=CheckedTransport()) as client:
+        relay = _relay(context, client, address)
+        relay.answers.max_bytes = context.max_bytes
+        server = _server(relay)
+
+        async def serve():
+            messages = [{'type': 'http.request', 'body': b''}]
+
+            async def receive():
+                return messages.pop() if messages else await asyncio.Future()
+
+            await server(_scope(context.path), receive, _send)
+
+        serving = [asyncio.create_task(serve()) for _ in range(context.count)]
+        context.peak_bytes = 0
+        while not all(task.done() for task in serving):
+            context.peak_bytes = max(
+                context.peak_bytes, relay.answers.kept_bytes
+            )
+            await asyncio.sleep(0.001)
+
+
+@when(
+    'an instance that keeps at most {megabytes:d} MB serves {count:d} requests '
+    'for {path} at once'
+)
+def when_served_at_once(context, megabytes, count, path):
+    context.max_bytes = megabytes * 1_000_000
+    context.count = count
+    context.path = path
+    asyncio.run(_call(context, _serve_at_once))
+
+
+@then('it keeps more than 0 MB and at most {megabytes:d} MB at a time')
+def then_peak(context, megabytes):
+    assert 0 < context.peak_bytes <= megabytes * 1_000_000, context.peak_bytes
+
+
+class _Response:
+    """Response whose chunks come at intervals; it may stall at its end."""
+
+    def __init__(self, chunks, stalls=False):
+        self._chunks = chunks
+        self._stalls = stalls
+
+    async def aiter_raw(self):
+        for chunk in self._chunks:
+            await asyncio.sleep(0.001)
+            yield chunk
+        if self._stalls:
+            await asyncio.Future()
+
+
+@given('unfinished answers that may take {count:d} bytes together')
+def given_memory(context, count):
+    context.answers = AnswerMemory(max_bytes=count)
+    context.responses = {}
+
+
+@given('an answer that stalls after {count:d} bytes')
+def given_stalled(context, count):
+    context.responses['stalled'] = _Response([b'x' * count], stalls=True)
+
+
+@given('{count:d} answers without end')
+def given_endless(context, count):
+    for number in range(count):
+        context.responses[f'endless {number}'] = _Response(
+            itertools.repeat(b'x' * 10)
+        )
+
+
+@when('answers of {sizes} bytes are read besides')
+def when_read(context, sizes):
+    for size in sizes.split(', '):
+        chunks = [b'x' * 10] * (int(size) // 10)
+        context.responses[f'sound {size}'] = _Response(chunks)
+    asyncio.run(_read_all(context))
+
+
+async def _read_all(context):
+    context.result_by_name = {}
+
+    async def read(name, response):
+        try:
+            body = await read_body(response, 10**9, context.answers)
+        except httpx.RemoteProtocolError:
+            context.result_by_name[name] = 'given up'
+        else:
+            context.result_by_name[name] = len(body)
+
+    async with asyncio.timeout(_ENDLESS_SECONDS), asyncio.TaskGroup() as tasks:
+        for name, response in context.responses.items():
+            tasks.create_task(read(name, response))
+
+
+@then('only the {kind} answers are given up')
+def then_given_up(context, kind):
+    for name, outcome in context.result_by_name.items():
+        sort, _, size = name.partition(' ')
+        expected = 'given up' if sort == kind else int(size)
+        assert outcome == expected, (name, outcome)
+
+
+@then('no unfinished answer is counted any more')
+def then_none_counted(context):
+    assert not context.answers.kept_bytes, context.answers.kept_bytes
+
+
 async def _serve(context, address):
     """Let an instance serve requests one after the other."""
     messages = []
@@ -251,18 +379,7 @@
         return await asyncio.Future()
 
     async with httpx.AsyncClient(transport=CheckedTransport()) as client:
-        server = RouteServer(
-            dialect=PLATFORM_DIALECT,
-            relay=_relay(context, client, address),
-            freshness=Freshness(60, time.monotonic()),
-            credit=None,
-            metrics=Metrics(),
-            table=lambda: TABLE,
-            reserve=_grant,
-            closing=bool,
-            stopped=bool,
-            clock=time.monotonic,
-        )
+        server = _server(_relay(context, client, address))
         for _ in range(context.count):
             messages.append({'type': 'http.request', 'body': b''})
             await server(_scope(context.path), receive, _send)
--- a/tests/transport/bounded_body.feature
+++ b/tests/transport/bounded_body.feature
@@ -35,6 +35,30 @@
       | /stock/1  |
       | /report/1 |
 
+  Scenario Outline: All unfinished answers have a bound together: <path>
+    Given a target whose response body in chunks never ends
+    When an instance that keeps at most 2 MB serves 8 requests for <path> at once
+    Then it keeps more than 0 MB and at most 2 MB at a time
+
+    Examples:
+      | path      |
+      | /stock/1  |
+      | /report/1 |
+
+  Scenario: Above the bound a stalled answer that is the largest is given up
+    Given unfinished answers that may take 1000 bytes together
+    And an answer that stalls after 800 bytes
+    When answers of 100, 150, 160 bytes are read besides
+    Then only the stalled answers are given up
+    And no unfinished answer is counted any more
+
+  Scenario: Above the bound answers without end are given up, others are not
+    Given unfinished answers that may take 1000 bytes together
+    And 10 answers without end
+    When answers of 10, 50, 70 bytes are read besides
+    Then only the endless answers are given up
+    And no unfinished answer is counted any more
+
   Scenario: An engine that only sends parts of an event counts as silent
     Given a target whose response body with parts of an event never ends
     When it gets a stream
