Read answers of the store with unpaired surrogates

Cause: the answer of the store is decoded at once; JSON allows such an escape and the decoder refuses the whole text, so that every list of targets was malformed.

--- a/cowsliprack/platform/store.py
+++ b/cowsliprack/platform/store.py
@@ -49,6 +49,12 @@
 # Entries of targets are nested about five deep.
 _MAX_DEPTH = 64
 _JSON_TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]')
+# An escape in a JSON text; a surrogate that is not one of a pair is the group.
+_JSON_ESCAPE = re.compile(
+    r'\\(?:u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2}'
+    r'|(u[dD][89a-fA-F][0-9a-fA-F]{2})|.)'
+)
+_REPLACEMENT = r'\ufffd'
 _OPENING = frozenset('[{')
 _CLOSING = frozenset(']}')
 
@@ -389,15 +395,29 @@
 
 
 def _decode(response: httpx.Response, wire: type[_Wire]) -> _Wire:
-    # An object of another writer may contain invalid UTF-8, which must not make
-    # the other objects unreadable.
+    # An object of another writer may contain invalid UTF-8 or, as an escape, an
+    # unpaired surrogate, which must not make the other objects unreadable.
     text = response.content.decode(errors='replace')
     try:
         return _decode_text(text, wire)
+    except msgspec.DecodeError as error:
+        _log.warning('store_response_malformed', error=str(error))
+    try:
+        return _decode_text(_without_unpaired_surrogates(text), wire)
     except msgspec.DecodeError as error:
         raise StoreUnavailableError(f'malformed response: {error}') from error
 
 
+def _without_unpaired_surrogates(text: str) -> str:
+    """Return JSON in which unpaired surrogates are replaced.
+
+    The grammar allows them as escapes, but no text can hold them.
+    """
+    return _JSON_ESCAPE.sub(
+        lambda escape: _REPLACEMENT if escape[1] else escape[0], text
+    )
+
+
 def _decode_text(text: str, wire: type[_Wire]) -> _Wire:
     try:
         return msgspec.json.decode(text, type=wire)
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -25,6 +25,13 @@
       | with a number of 400 digits   |
       | with a number of 5000 digits  |
       | with a number beyond a double |
+      | with an unpaired surrogate    |
+      | with a swapped pair           |
+      | that ends in a surrogate      |
+
+  Scenario: An unpaired surrogate changes no other character
+    When a target with an unpaired surrogate is listed, and changes while it is watched
+    Then the odd value is read as a smiley, an escaped escape and a replacement
 
   Scenario: A watch without changes returns after its wait time
     When the targets are listed and watched for 0.2 seconds
--- a/tests/steps/platform_store_steps.py
+++ b/tests/steps/platform_store_steps.py
@@ -134,6 +134,9 @@
     'with a number of 400 digits': b'9' * 400,
     'with a number of 5000 digits': b'9' * 5000,
     'with a number beyond a double': b'1e999',
+    'with an unpaired surrogate': rb'"\ud83d\ude00 \\udcff \udCFF"',
+    'with a swapped pair': rb'"\udc00\ud800"',
+    'that ends in a surrogate': rb'"\uD83D"',
 }
 
 
@@ -177,6 +180,12 @@
     assert context.changes['t1'] == {'service': 'other'}
 
 
+@then('the odd value is read as a smiley, an escaped escape and a replacement')
+def then_read(context):
+    expected = '\U0001f600 \\udcff \ufffd'
+    assert context.listed['odd'] == {'service': expected}, context.listed
+
+
 @then('the watch ends with {outcome}')
 def then_watch_ends(context, outcome):
     assert type(context.result).__name__ == outcome, context.result
