Use no target whose entry cannot be sent, and end no process for it

With an IPv6 address in an entry all members ended.

Cause: calls to targets were built outside the handlers of errors, in tasks whose failure ends the process, from names and addresses that had not been checked.

Change: an entry names a target only with a name that fits into a header, readable texts and an IPv4 address; calls that cannot be built end like calls without an answer.

--- a/cowsliprack/platform/engine_client.py
+++ b/cowsliprack/platform/engine_client.py
@@ -81,18 +81,12 @@
             fence=preconditions.fencing,
             precondition=preconditions.expected_count,
         )
-        request = self.client.build_request(
-            'POST',
-            f'http://{record.address}/-/order',
-            content=msgspec.json.encode(body),
-            headers={
-                'content-type': 'application/json',
-                'x-expect-instance': record.target_id,
-            },
-        )
+        content = msgspec.json.encode(body)
         try:
             with self.running_time.fail_after(_ORDER_TIMEOUT_SECONDS):
-                status, _ = await self._exchange(request)
+                status, _ = await self._exchange(
+                    'POST', '/-/order', record, content
+                )
         except (httpx.HTTPError, TimeoutError) as failure:
             _log.warning(
                 'order_unanswered',
@@ -107,14 +101,9 @@
 
         :param record: registered data of the engine.
         """
-        request = self.client.build_request(
-            'GET',
-            f'http://{record.address}/-/report',
-            headers={'x-expect-instance': record.target_id},
-        )
         try:
             with self.running_time.fail_after(_REPORT_TIMEOUT_SECONDS):
-                status, body = await self._exchange(request)
+                status, body = await self._exchange('GET', '/-/report', record)
         except (httpx.HTTPError, TimeoutError) as failure:
             _log.warning(
                 'report_unanswered',
@@ -142,8 +131,26 @@
             on_disk=frozenset(report.at_hand.on_disk),
         )
 
-    async def _exchange(self, request: httpx.Request) -> tuple[int, bytes]:
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        record: TargetRecord,
+        content: bytes | None = None,
+    ) -> tuple[int, bytes]:
         """Return the status and the body of an engine's response."""
+        headers = {'x-expect-instance': record.target_id}
+        if content is not None:
+            headers['content-type'] = 'application/json'
+        try:
+            request = self.client.build_request(
+                method,
+                f'http://{record.address}{path}',
+                content=content,
+                headers=headers,
+            )
+        except (httpx.InvalidURL, ValueError) as error:
+            raise httpx.LocalProtocolError(repr(error)) from error
         response = await self.client.send(request, stream=True)
         try:
             body = await read_body(response, MAX_REPORT_BYTES)
--- a/cowsliprack/platform/wire.py
+++ b/cowsliprack/platform/wire.py
@@ -73,6 +73,8 @@
 
 _MAX_PORT = 65_535
 _MAX_PORT_DIGITS = 5
+# Stands for bytes that are no text.
+_UNREADABLE = '\ufffd'
 # Larger integers do not fit into the messages between instances.
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 
@@ -202,7 +204,9 @@
         state = TargetState(wire.state)
     except (msgspec.ValidationError, ValueError):
         return None
-    if not _is_address(wire.addr):
+    texts = (wire.service, wire.zone, wire.version)
+    is_readable = not any(_UNREADABLE in text for text in texts)
+    if not (is_readable and _is_id(target_id) and _is_address(wire.addr)):
         return None
     return TargetRecord(
         target_id=target_id,
@@ -251,10 +255,16 @@
     return loaded_models
 
 
+def _is_id(target_id: str) -> bool:
+    """Return whether an id can be sent in a header as it is."""
+    is_plain = target_id.isascii() and target_id.isprintable()
+    return is_plain and bool(target_id) and target_id == target_id.strip()
+
+
 def _is_address(address: str) -> bool:
     host, _, port = address.rpartition(':')
     try:
-        ipaddress.ip_address(host)
+        ipaddress.IPv4Address(host)
     except ValueError:
         return False
     is_number = port.isdecimal() and len(port) <= _MAX_PORT_DIGITS
--- a/cowsliprack/transport/reach_watch.py
+++ b/cowsliprack/transport/reach_watch.py
@@ -110,12 +110,12 @@
     :param running_time: extends the timeout.
     :param url: of the health check.
     """
-    request = httpx.Request('GET', url, extensions={'fresh': True})
     try:
+        request = httpx.Request('GET', url, extensions={'fresh': True})
         with running_time.fail_after(_CHECK_TIMEOUT_SECONDS):
             # The body says nothing more, and may never end.
             response = await client.send(request, stream=True)
-    except (httpx.HTTPError, TimeoutError):
+    except (httpx.HTTPError, httpx.InvalidURL, TimeoutError):
         return False
     await response.aclose()
     return True
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -367,7 +367,14 @@
     ) -> None:
         trace = SendTrace()
         request.trace = trace
-        outgoing = self._build_outgoing(request, target, sent_at, trace)
+        try:
+            outgoing = self._build_outgoing(request, target, sent_at, trace)
+        except (httpx.InvalidURL, ValueError) as invalid:
+            raise TargetError(
+                f'{type(invalid).__name__}: {invalid}',
+                Ran.not_run,
+                unreachable=True,
+            ) from invalid
         try:
             silence_timeout = self._silence_timeout(request, target, sent_at)
             async with self._open_response(
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -47,12 +47,39 @@
       | addr  | "10.0.0.1:99999999999" |
       | addr  | "nowhere:80"           |
       | addr  | "[::1"                 |
+      | addr  | "::1:8080"             |
+      | addr  | "[::1]:8080"           |
+      | zone  | "z\ufffd"              |
+      | version | "v\ufffd"            |
+      | service | "llm\ufffd"          |
       | slots | 99999999999999999999   |
       | slots | -1                     |
       | slots | 1e308                  |
       | seq   | 99999999999999999999   |
       | born  | 99999999999999999999   |
 
+  Scenario Outline: An entry with the name <text> names no target
+    Then an entry with the name <text> names no target
+
+    Examples:
+      | text              |
+      | "i-\ufffd"        |
+      | "i-\u00fc"        |
+      | "i\nX-Tenant: y"  |
+      | "i\u0000"         |
+      | " i"              |
+      | ""                |
+
+  Scenario Outline: A target whose <field> is <text> gets no call
+    Then calls to a target whose <field> is <text> end without an answer
+
+    Examples:
+      | field     | text        |
+      | target_id | "i-\ufffd"  |
+      | target_id | "i\ny: z"   |
+      | address   | "::1:8080"  |
+      | address   | "a:b"       |
+
   Scenario Outline: An answer <status> with <header>
     Then a <status> answer with the header "<header>" says that its target <meaning>
 
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -1,5 +1,6 @@
 """Steps for the platform adapter."""
 
+import dataclasses
 import json
 import os
 import subprocess
@@ -7,6 +8,8 @@
 import tempfile
 from pathlib import Path
 
+import anyio
+import httpx
 from behave import given, then, when
 
 from cowsliprack.coordination.relayed_targets import (
@@ -14,6 +17,7 @@
     registry_changes,
 )
 from cowsliprack.exceptions import ConfigurationError
+from cowsliprack.platform.engine_client import EngineClient
 from cowsliprack.platform.headers import (
     forwarded_headers,
     read_notice,
@@ -23,9 +27,15 @@
 from cowsliprack.platform.settings import parse_platform_settings
 from cowsliprack.platform.wire import decode_configuration, decode_target
 from cowsliprack.protocol.dialect import ForwardingMetadata, TargetNotice
+from cowsliprack.protocol.engine import OrderAnswer, OrderPreconditions
 from cowsliprack.protocol.gateway_messages import LeaderView, MemberReport
 from cowsliprack.protocol.peer import decode_message, encode_message
+from cowsliprack.protocol.target import OrderKind
+from cowsliprack.state.engine_state import EngineOrder
 from cowsliprack.state.target_registry import TargetRegistry
+from cowsliprack.transport.checked_transport import CheckedTransport
+from cowsliprack.transport.reach_watch import is_answering
+from cowsliprack.transport.running_time import RunningTime
 from tests.support.gateway_cluster import configuration
 from tests.support.platform_settings import SETTINGS
 from tests.support.routed import target_record
@@ -156,9 +166,8 @@
     assert stated_limit([]) is None
 
 
-@then('an entry whose {field:w} is {text} names no target')
-def then_no_target(context, field, text):
-    entry = {
+def _entry():
+    return {
         'service': 'llm',
         'addr': '10.0.0.1:8000',
         'zone': 'z',
@@ -167,10 +176,45 @@
         'seq': 1,
         'born': 1,
     }
+
+
+@then('an entry whose {field:w} is {text} names no target')
+def then_no_target(_context, field, text):
+    entry = _entry()
     assert decode_target('i', entry) is not None
     assert decode_target('i', {**entry, field: json.loads(text)}) is None
 
 
+@then('an entry with the name {text} names no target')
+def then_no_name(_context, text):
+    assert decode_target(json.loads(text), _entry()) is None
+
+
+async def _call(record):
+    async with httpx.AsyncClient(transport=CheckedTransport()) as client:
+        engines = EngineClient(client)
+        answer = await engines.send_order(
+            record,
+            EngineOrder(record.target_id, OrderKind.load, 'm0'),
+            OrderPreconditions('g1', 1, 0),
+        )
+        url = f'http://{record.address}/healthz'
+        return (
+            answer,
+            await engines.survey(record),
+            await is_answering(client, RunningTime(), url),
+        )
+
+
+@then('calls to a target whose {field:w} is {text} end without an answer')
+def then_no_call(_context, field, text):
+    record = dataclasses.replace(
+        target_record('i'), **{field: json.loads(text)}
+    )
+    answers = anyio.run(_call, record)
+    assert answers == (OrderAnswer.unknown, None, False), answers
+
+
 @then(
     'a {status:d} answer with the header "{name}: {text}" says that its target '
     '{meaning}'
