Gather streams for longer before a message to the leader of a large region

Cause: a member sent the leader up to ten messages a second while streams are recorded, one for nearly each stream of a large region, and the leader's time is what binds there.

Change: all members together send 200 messages a second at most. Test: origin_recorder.feature, 4 rows.

--- a/cowsliprack/transport/origin_recorder.py
+++ b/cowsliprack/transport/origin_recorder.py
@@ -26,8 +26,10 @@
 
 # Time in which the leader collects streams for one write.
 WRITE_SECONDS = 0.5
-# Time in which a member collects streams for its messages to the leader.
+# Shortest time in which a member collects streams for its messages to the
+# leader, and the messages a second of all members together.
 _SEND_SECONDS = 0.1
+_MESSAGES_PER_SECOND = 200
 _KIND = 'cowsliprack-streams'
 # Objects that are written in turn: a batch is replaced after 128 s at the
 # earliest, when its streams can no longer be taken up.
@@ -149,12 +151,16 @@
         """Write or send the streams that are added, until cancelled."""
         while True:
             await self._due.wait()
-            await anyio.sleep(
-                WRITE_SECONDS if self.is_leading() else _SEND_SECONDS
-            )
+            await anyio.sleep(self.gathering_seconds())
             self._due = anyio.Event()
             await self.flush()
 
+    def gathering_seconds(self) -> float:
+        """Return the time in which streams are collected, in seconds."""
+        if self.is_leading():
+            return WRITE_SECONDS
+        return max(_SEND_SECONDS, self.instances() / _MESSAGES_PER_SECOND)
+
     async def flush(self) -> None:
         """Write the added streams, or send them to the leader.
 
--- a/tests/steps/origin_recorder_steps.py
+++ b/tests/steps/origin_recorder_steps.py
@@ -129,6 +129,16 @@
     context.world.instance_count = count
 
 
+@then(
+    'its members together send the leader at most {count:d} messages a second'
+)
+def then_messages(context, count):
+    world = context.world
+    recorder = world.exchanges['b-1'].recorder
+    sent = world.instance_count / recorder.gathering_seconds()
+    assert sent <= count + 1e-6, sent
+
+
 @then('the store was listed {count:d} times')
 def then_lists(context, count):
     assert context.world.store.lists == count, context.world.store.lists
--- a/tests/transport/origin_recorder.feature
+++ b/tests/transport/origin_recorder.feature
@@ -150,6 +150,17 @@
     Then the store was written 1 times
     And each object is smaller than the largest value of the store
 
+  Scenario Outline: Messages to the leader are few: <count> instances
+    Given a region of <count> instances
+    Then its members together send the leader at most <messages> messages a second
+
+    Examples:
+      | count | messages |
+      | 6     | 60       |
+      | 74    | 200      |
+      | 195   | 200      |
+      | 350   | 200      |
+
   Scenario Outline: Reads of unknown streams are few: <count> instances
     Given a region of <count> instances
     When b-1 looks for 40 unknown streams at once
