Read a small body of a health check, so that its connection can be used again

Cause: closed the connection of each health check after the head, also a sound one, which went into the pool before; new connections to engines are dear.

Change: 64 KB are read at most; a longer body is cut off and the target counts as reached.

Test: the rows of bounded_body.feature hold, and fail without the bound. The red row @1.2 of faults.feature failed once more, beside load.

--- a/cowsliprack/transport/reach_watch.py
+++ b/cowsliprack/transport/reach_watch.py
@@ -11,11 +11,14 @@
 from cowsliprack.logs import log_decision
 from cowsliprack.state.routing_table import RoutingTable, ServiceSpec
 from cowsliprack.state.target_registry import TargetRecord, TargetRegistry
+from cowsliprack.transport.bounded_body import read_body
 from cowsliprack.transport.running_time import RunningTime
 
 _CHECK_INTERVAL_SECONDS = 0.4
 # Longest wait for the answer to a check, which takes a few milliseconds.
 _CHECK_TIMEOUT_SECONDS = 0.4
+# Health checks have short answers; a longer one is cut off.
+_MAX_BODY_BYTES = 65_536
 
 
 @dataclass(slots=True)
@@ -113,9 +116,20 @@
     try:
         request = httpx.Request('GET', url, extensions={'fresh': True})
         with running_time.fail_after(_CHECK_TIMEOUT_SECONDS):
-            # The body says nothing more, and may never end.
             response = await client.send(request, stream=True)
+            await _finish(response)
     except (httpx.HTTPError, httpx.InvalidURL, TimeoutError):
         return False
-    await response.aclose()
     return True
+
+
+async def _finish(response: httpx.Response) -> None:
+    """Read a small body, so that the connection can be used again."""
+    try:
+        await read_body(response, _MAX_BODY_BYTES)
+    except httpx.HTTPError:
+        # The head has shown that the target is reached.
+        return
+    finally:
+        with anyio.CancelScope(shield=True):
+            await response.aclose()
