--- a/cowsliprack/coordination/stream_origins.py
+++ b/cowsliprack/coordination/stream_origins.py
@@ -117,6 +117,25 @@
                 return
             entries.pop(oldest)
 
+    def forget(self, key: str) -> None:
+        """Remove the origin of a stream, if it is known.
+
+        :param key: see ``origin_key``.
+        """
+        self._entries_by_key.pop(key, None)
+
+    def is_begun_at(self, key: str, origin: StreamOrigin, now: float) -> bool:
+        """Return whether this instance began a stream at a given origin.
+
+        :param key: see ``origin_key``.
+        :param origin: service and version.
+        :param now: seconds.
+        """
+        entry = self._entries_by_key.get(key)
+        if entry is None or not entry.is_own or entry.expires_at <= now:
+            return False
+        return entry.origin == origin
+
     def find(self, key: str, now: float) -> StreamOrigin | None:
         """Return the origin of a stream, if it is known.
 
--- a/cowsliprack/transport/origin_exchange.py
+++ b/cowsliprack/transport/origin_exchange.py
@@ -98,13 +98,24 @@
         :param origin: service and version of the target.
         """
         now = self.clock()
-        if self.origins.find(key, now) == origin:
+        if self.origins.is_begun_at(key, origin, now):
             return
         self.origins.record(key, origin, now, is_own=True)
         if origin.service in self._announced_services:
             self._announce([(key, origin)])
             self.recorder.add(key, origin)
 
+    def forget(self, key: str) -> None:
+        """Forget a stream that another instance is about to begin instead.
+
+        That instance announces what begins it; announcing the own origin again,
+        for example to new instances, would replace that.
+
+        :param key: see ``origin_key``.
+        """
+        self.origins.forget(key)
+        self.recorder.forget(key)
+
     def registry_changed(self, registry: TargetRegistry) -> None:
         """Apply a new list of targets.
 
--- a/cowsliprack/transport/origin_recorder.py
+++ b/cowsliprack/transport/origin_recorder.py
@@ -142,6 +142,13 @@
             pending.pop(next(iter(pending)))
         self._due.set()
 
+    def forget(self, key: str) -> None:
+        """Do not record a stream that has not been sent or written yet.
+
+        :param key: see ``origin_key``.
+        """
+        self._origin_by_pending_key.pop(key, None)
+
     def leader_found(self) -> None:
         """Send what could not be sent before."""
         if self._origin_by_pending_key:
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -175,6 +175,8 @@
         request.may_pass_on = False
         if request.is_in_doubt() and not request.is_repeatable():
             return False
+        if request.may_be_taken_up() and not request.resume_after():
+            self.origins.forget(request.origin_key(request.metadata.request_id))
         return await self.passing.pass_on(request)
 
     async def _take_up(self, request: RoutedRequest) -> None:
--- a/tests/steps/origin_exchange_steps.py
+++ b/tests/steps/origin_exchange_steps.py
@@ -59,6 +59,14 @@
         context.world.begin(name, attempt, version)
 
 
+@when('{name} passes them to {other}, which begins them at {version}')
+def when_passed(context, name, other, version):
+    for attempt in context.version_by_attempt:
+        context.world.pass_on(name, attempt)
+        context.world.begin(other, attempt, version)
+        context.version_by_attempt[attempt] = version
+
+
 @given('{name} is isolated')
 def given_isolated(context, name):
     context.world.isolated.add(name)
--- a/tests/steps/route_streams_steps.py
+++ b/tests/steps/route_streams_steps.py
@@ -10,8 +10,9 @@
 from behave import given, then, when
 
 from cowsliprack.coordination.fleet_view import FleetView
+from cowsliprack.coordination.stream_origins import origin_key
 from cowsliprack.coordination.target_selector import TargetSelector
-from cowsliprack.exceptions import ServingError
+from cowsliprack.exceptions import ServingError, TargetsUnreachableError
 from cowsliprack.platform.headers import PLATFORM_DIALECT
 from cowsliprack.state.target_registry import TargetRegistry
 from cowsliprack.transport.checked_transport import CheckedTransport
@@ -41,6 +42,8 @@
 }
 # SO_LINGER value (on, 0 seconds) that makes close() send a TCP reset.
 _RESET = struct.pack('ii', 1, 0)
+# More sends than a request is allowed.
+_MAX_SENDS = 100
 # Until the bytes before a reset have been read.
 _BEFORE_RESET_SECONDS = 0.1
 
@@ -89,13 +92,28 @@
 
 
 class _Finder:
-    def __init__(self, record):
+    """Finds one target, which may be reached only for the first sends.
+
+    :param sends: number of sends for which the target is reached.
+    """
+
+    def __init__(self, record, sends):
         self._record = record
+        self._sends = sends
 
-    async def find(self, _request):
+    async def find(self, request):
+        if request.sends >= self._sends:
+            raise TargetsUnreachableError(request.service)
         return self._record
 
 
+class _Passing:
+    """Another instance that serves each request."""
+
+    async def pass_on(self, _request):
+        return True
+
+
 @given('an engine whose stream without a length ends {end}')
 def given_engine(context, end):
     context.engine = _Engine(end, _BODIES[end], _FIRST + _SECOND)
@@ -145,6 +163,21 @@
     context.add_cleanup(context.engine.listener.close)
 
 
+_REACHED_SENDS = {'reached only from another instance': 1, 'the first one': 2}
+
+
+@given('the second target of a request is {second}')
+def given_second(context, second):
+    context.reached_sends = _REACHED_SENDS[second]
+
+
+@then('the instance {knows} what began the stream')
+def then_origin(context, knows):
+    key = origin_key('', 'id')
+    origin = context.origins.origins.find(key, time.monotonic())
+    assert (origin is not None) == (knows == 'says'), origin
+
+
 @then('the caller has got nothing of the later answer')
 def then_no_text(context):
     written = b''.join(message.get('body', b'') for message in context.messages)
@@ -287,16 +320,19 @@
         'headers': [(b'host', b'desk.example'), (b'x-attempt-id', b'id')],
     }
     record = target_record('e1', address=context.engine.address)
+    context.origins = lone_origins()
     async with httpx.AsyncClient(transport=CheckedTransport()) as client:
         relay = RouteRelay(
             client=client,
             dialect=PLATFORM_DIALECT,
             fleet=FleetView(),
             target_selector=TargetSelector('z'),
-            finder=_Finder(record),
+            finder=_Finder(
+                record, getattr(context, 'reached_sends', _MAX_SENDS)
+            ),
             poison=PoisonWatch(TargetRegistry(), time.monotonic),
-            origins=lone_origins(),
-            passing=None,
+            origins=context.origins,
+            passing=_Passing(),
             apply_retry_limit=lambda _budget: None,
             table=lambda: TABLE,
             demand_changed=lambda: None,
--- a/tests/support/origin_world.py
+++ b/tests/support/origin_world.py
@@ -124,6 +124,10 @@
         key = origin_key('desk', attempt)
         self.exchanges[name].begin(key, StreamOrigin(SERVICE, version))
 
+    def pass_on(self, name, attempt):
+        """Leave a stream that an instance has sent to another instance."""
+        self.exchanges[name].forget(origin_key('desk', attempt))
+
     async def take_up(self, name, attempt, services=(SERVICE,)):
         """Return the origin that an instance finds for a stream."""
         key = origin_key('desk', attempt)
--- a/tests/transport/origin_exchange.feature
+++ b/tests/transport/origin_exchange.feature
@@ -200,6 +200,40 @@
     And a-1 dies
     Then c-2 finds the version that began each of them
 
+  # A request whose first send was not answered is passed on and begins there.
+  Scenario Outline: Streams that an instance passed on began at <version>, <then>
+    Given targets of the versions v1, v2
+    And all instances know each other
+    And a-1 has begun streams at v1
+    When a-1 passes them to b-1, which begins them at <version>
+    And <then>
+    Then a-1 finds the version that began each of them
+    And c-2 finds the version that began each of them
+
+    Examples:
+      | version | then                                   |
+      | v2      | the instances learn of each other again |
+      | v2      | b-1 dies                               |
+      | v1      | b-1 dies                               |
+
+  Scenario Outline: Keepers that start again learn of streams that were passed on, at <version>
+    Given targets of the versions v1, v2
+    And all instances know each other
+    And a-1 has begun streams at v1
+    When a-1 passes them to b-1, which begins them at <version>
+    And a-2 starts again
+    And b-2 starts again
+    And c-1 starts again
+    And c-2 starts again
+    And the instances learn of each other again
+    And b-1 dies
+    Then c-2 finds the version that began each of them
+
+    Examples:
+      | version |
+      | v1      |
+      | v2      |
+
   Scenario: A route that leads to several services
     Given targets of the versions v1, v1, v1
     And all instances know each other
--- a/tests/transport/origin_recorder.feature
+++ b/tests/transport/origin_recorder.feature
@@ -54,6 +54,18 @@
     And all instances start again and read the lease
     Then b-2 finds the version that began each of them
 
+  Scenario: Streams that were passed on without a leader
+    Given c-1 has begun streams at v2
+    When the streams are recorded
+    And no instance leads
+    And c-2 begins streams at v1
+    And c-2 passes them to b-1, which begins them at v2
+    And a-1 begins to lead
+    And the streams are recorded
+    And all instances start again and read the lease
+    And the instances learn of each other again
+    Then b-2 finds the version that began each of them
+
   Scenario: Streams that began without a leader
     Given c-1 has begun streams at v1
     When the streams are recorded
--- a/tests/transport/route_streams.feature
+++ b/tests/transport/route_streams.feature
@@ -110,3 +110,16 @@
       | a byte without an end | 0.3   | /chat/   | broken   | 1       | 6       |
       | a byte without an end | 0.3   | /report/ | broken   | 1       | 6       |
       | comments without end  | 0.3   | /report/ | broken   | 1       | 6       |
+
+  # Otherwise the instance would send a caller that takes the stream up to the
+  # software version of its own first send.
+  Scenario Outline: A stream that is passed on after a send to a target is <state> here
+    Given an engine whose stream without a length ends before its first event
+    And the second target of a request is <second>
+    When a caller asks for a stream at /chat/
+    Then the instance <knows> what began the stream
+
+    Examples:
+      | state    | second                             | knows        |
+      | unknown  | reached only from another instance | does not say |
+      | recorded | the first one                      | says         |
