--- a/cowsliprack/protocol/event_splitter.py
+++ b/cowsliprack/protocol/event_splitter.py
@@ -11,8 +11,8 @@
 class EventSplitter:
     """Splits a stream into whole events.
 
-    :param last_event_id: id of the latest complete event that has one; empty
-        before the first.
+    :param last_event_id: id of the latest event with one that the caller has;
+        empty before the first.
     :param buffer: bytes of the incomplete event at the end of the stream.
     """
 
@@ -31,10 +31,15 @@
         end += len(_EVENT_END)
         events = bytes(self.buffer[:end])
         del self.buffer[:end]
-        self._update_last_id(events)
         return events
 
-    def _update_last_id(self, events: bytes) -> None:
+    def record_written(self, events: bytes) -> None:
+        """Record that the caller has got whole events.
+
+        Until then another target has to send them again.
+
+        :param events: that ``feed`` has returned.
+        """
         start = events.rfind(_ID_LINE_START)
         if start >= 0:
             start += 1
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -611,6 +611,7 @@
                 if not exchange.started:
                     await exchange.start_raw(response.status_code, returned)
                 await exchange.write(complete_events)
+                splitter.record_written(complete_events)
         if splitter.buffer or not (has_events or _has_framing(response)):
             raise httpx.ReadError('the stream ended inside an event')
         if not exchange.started:
--- a/tests/steps/route_streams_steps.py
+++ b/tests/steps/route_streams_steps.py
@@ -1,5 +1,6 @@
 """Steps for answers of targets that have no length."""
 
+import re
 import socket
 import struct
 import threading
@@ -15,6 +16,7 @@
 from cowsliprack.exceptions import ServingError, TargetsUnreachableError
 from cowsliprack.platform.headers import PLATFORM_DIALECT
 from cowsliprack.state.target_registry import TargetRegistry
+from cowsliprack.transport.bounded_body import AnswerMemory
 from cowsliprack.transport.checked_transport import CheckedTransport
 from cowsliprack.transport.exchange import exchange_from_scope
 from cowsliprack.transport.poison_watch import PoisonWatch
@@ -44,6 +46,8 @@
 _RESET = struct.pack('ii', 1, 0)
 # More sends than a request is allowed.
 _MAX_SENDS = 100
+# Until an earlier part of a stream has been read.
+_BEFORE_NEXT_PART_SECONDS = 0.1
 # Until the bytes before a reset have been read.
 _BEFORE_RESET_SECONDS = 0.1
 
@@ -178,6 +182,46 @@
     assert (origin is not None) == (knows == 'says'), origin
 
 
+class _LongEventEngine(_Engine):
+    """Engine whose first stream has whole events and a long one in one part."""
+
+    def _answer(self, connection):
+        head = connection.recv(65536)
+        self.heads.append(head)
+        if len(self.heads) > 1:
+            rest = _SECOND if b'last-event-id: 1' in head else self.whole
+            connection.sendall(_HEAD + rest)
+            return
+        connection.sendall(_HEAD)
+        whole_events = self.whole
+        if self.end == 'event 1':
+            connection.sendall(_FIRST)
+            time.sleep(_BEFORE_NEXT_PART_SECONDS)
+            whole_events = _SECOND
+        connection.sendall(whole_events + b'id: 3\ndata: ' + b'x' * 2000)
+
+
+@given('an engine that sends {first}, then whole events before a long one')
+def given_long_event(context, first):
+    context.engine = _LongEventEngine(first, b'', _FIRST + _SECOND)
+    context.add_cleanup(context.engine.listener.close)
+
+
+@given('at most {count:d} bytes of unfinished answers are kept')
+def given_bound(context, count):
+    context.answers = AnswerMemory(max_bytes=count)
+
+
+_RESUMED_AFTER = {'from the start': None, 'after event 1': '1'}
+
+
+@then('the second request goes on {where}')
+def then_resumed(context, where):
+    found = re.search(rb'last-event-id: (.*)\r\n', context.engine.heads[1])
+    resumed_after = found and found[1].decode()
+    assert resumed_after == _RESUMED_AFTER[where], resumed_after
+
+
 @then('the caller has got nothing of the later answer')
 def then_no_text(context):
     written = b''.join(message.get('body', b'') for message in context.messages)
@@ -337,6 +381,7 @@
             table=lambda: TABLE,
             demand_changed=lambda: None,
             clock=time.monotonic,
+            answers=getattr(context, 'answers', AnswerMemory()),
         )
         request = routed_request(
             f'{path}1',
--- a/tests/transport/route_streams.feature
+++ b/tests/transport/route_streams.feature
@@ -34,6 +34,19 @@
       | 200 and a text         |
       | a head that is no HTTP |
 
+  # Events count as received only once they have been written to the caller.
+  Scenario Outline: A stream is given up <when> while the next events come in
+    Given an engine that sends <first>, then whole events before a long one
+    And at most 1000 bytes of unfinished answers are kept
+    When a caller asks for a stream at /chat/
+    Then the second request goes on <from>
+    And its response is complete with the events 1 2
+
+    Examples:
+      | when                    | first   | from           |
+      | before its first event  | nothing | from the start |
+      | after its first event   | event 1 | after event 1  |
+
   Scenario Outline: A refusal is written once more on its connection: <kept>
     Given a target that refuses a request, then runs it and writes <kept> again
     When a caller asks for an answer at /order/
