--- a/cowsliprack/protocol/event_splitter.py
+++ b/cowsliprack/protocol/event_splitter.py
@@ -1,10 +1,14 @@
 """Splits an event stream into whole events without changing its bytes."""
 
+import re
 from dataclasses import dataclass, field
 
 _EVENT_END = b'\n\n'
 _ID_FIELD = b'id:'
 _ID_LINE_START = b'\nid:'
+# Longer numbers are not compared: they do not fit 64 bits.
+_NUMBER = re.compile(r'[0-9]{1,18}')
+_NUMBER_LINE = re.compile(rb'^id: ?([0-9]{1,18})\r?$', re.MULTILINE)
 
 
 @dataclass(slots=True)
@@ -49,3 +53,21 @@
             return
         line, _, _ = events[start:].partition(b'\n')
         self.last_event_id = line[len(_ID_FIELD) :].strip().decode('latin-1')
+
+
+def disordered_id(events: bytes, last_event_id: str) -> int | None:
+    """Return the first id that is not above the one before it.
+
+    Ids that are not numbers are not compared.
+
+    :param events: whole events.
+    :param last_event_id: id of the event before them; empty if there is none.
+    :returns: ``None`` if all are in order.
+    """
+    last = int(last_event_id) if _NUMBER.fullmatch(last_event_id) else None
+    for text in _NUMBER_LINE.findall(events):
+        number = int(text)
+        if last is not None and number <= last:
+            return number
+        last = number
+    return None
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -24,7 +24,7 @@
     ForwardingMetadata,
     HeaderPairs,
 )
-from cowsliprack.protocol.event_splitter import EventSplitter
+from cowsliprack.protocol.event_splitter import EventSplitter, disordered_id
 from cowsliprack.protocol.sse import MAX_EVENT_BYTES
 from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.state.store_version import revision_of
@@ -606,6 +606,7 @@
                 response, splitter, reader
             ):
                 has_events = True
+                _check_order(complete_events, request.resume_after())
                 self._record_events(request, target, sent_at)
                 request.begun_version = target.software_version
                 if not exchange.started:
@@ -660,6 +661,20 @@
         self.target_selector.record_success(target.target_id, now - sent_at)
 
 
+def _check_order(events: bytes, last_event_id: str) -> None:
+    """Check that events go on where the caller's stream has got to.
+
+    :raises TargetError: the target sends an earlier event, for example because
+        it has begun the stream anew.
+    """
+    number = disordered_id(events, last_event_id)
+    if number is not None:
+        raise TargetError(
+            f'event {number} does not follow event {last_event_id or "?"}',
+            Ran.may_have_run,
+        )
+
+
 def _has_framing(response: httpx.Response) -> bool:
     """Return whether the end of a response can be told from a broken one."""
     return bool(
--- a/tests/steps/route_streams_steps.py
+++ b/tests/steps/route_streams_steps.py
@@ -15,6 +15,7 @@
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.exceptions import ServingError, TargetsUnreachableError
 from cowsliprack.platform.headers import PLATFORM_DIALECT
+from cowsliprack.protocol.dialect import RequestMetadata
 from cowsliprack.state.target_registry import TargetRegistry
 from cowsliprack.transport.bounded_body import AnswerMemory
 from cowsliprack.transport.checked_transport import CheckedTransport
@@ -182,6 +183,36 @@
     assert (origin is not None) == (knows == 'says'), origin
 
 
+def _events(ids):
+    return b''.join(
+        b'id: %s\ndata: piece\n\n' % number.encode() for number in ids.split()
+    )
+
+
+class _UnorderedEngine(_Engine):
+    """Engine that breaks its first stream off and begins later ones freely."""
+
+    def _answer(self, connection):
+        self.heads.append(connection.recv(65536))
+        is_first = len(self.heads) == 1
+        # Inside an event, the end of the connection is no end of the stream.
+        connection.sendall(
+            _HEAD + (self.broken + b'id' if is_first else self.whole)
+        )
+
+
+@given('an engine that sends the events {first} and then, asked again, {later}')
+def given_unordered(context, first, later):
+    context.engine = _UnorderedEngine('', _events(first), _events(later))
+    context.add_cleanup(context.engine.listener.close)
+
+
+@when('a caller that has the events up to {known} asks for a stream at {path}')
+def when_known(context, known, path):
+    context.resume_after = '' if known == 'none' else known
+    when_asked(context, path)
+
+
 class _LongEventEngine(_Engine):
     """Engine whose first stream has whole events and a long one in one part."""
 
@@ -365,6 +396,8 @@
     }
     record = target_record('e1', address=context.engine.address)
     context.origins = lone_origins()
+    # No process ran before, so that streams may be taken up.
+    context.origins.inherit(('', {}))
     async with httpx.AsyncClient(transport=CheckedTransport()) as client:
         relay = RouteRelay(
             client=client,
@@ -389,6 +422,12 @@
             time.monotonic(),
             5,
             exchange=exchange_from_scope(scope, None, send),
+            metadata=RequestMetadata(
+                'id',
+                '',
+                None,
+                resume_after=getattr(context, 'resume_after', ''),
+            ),
         )
         try:
             await relay.serve(request)
@@ -400,7 +439,7 @@
 def then_response(context, state, events):
     body = b''.join(message.get('body', b'') for message in context.messages)
     ids = [line[4:] for line in body.split(b'\n') if line.startswith(b'id:')]
-    assert b' '.join(ids).decode() == events, body
+    assert b' '.join(ids).decode() == events.replace('none', ''), body
     ended = any(
         message['type'] == 'http.response.body'
         and not message.get('more_body', False)
--- a/tests/transport/route_streams.feature
+++ b/tests/transport/route_streams.feature
@@ -34,6 +34,25 @@
       | 200 and a text         |
       | a head that is no HTTP |
 
+  # A target may ignore the event after which it is asked to go on.
+  Scenario Outline: An engine sends the events <first>, breaks off, then sends <later>
+    Given an engine that sends the events <first> and then, asked again, <later>
+    When a caller that has the events up to <known> asks for a stream at /chat/
+    Then its response is <response> with the events <events>
+
+    Examples:
+      | first | later | known | response | events |
+      | 1 2   | 3 4   | none  | complete | 1 2 3 4 |
+      | 1 2   | 5 9   | none  | complete | 1 2 5 9 |
+      | 1 2   | 1 2 3 | none  | broken   | 1 2    |
+      | 1 2   | 2 3   | none  | broken   | 1 2    |
+      | 1 2   | 4 3   | none  | broken   | 1 2    |
+      | 1 1   | 2 3   | none  | complete | 2 3    |
+      | 8 9   | 10    | 7     | complete | 8 9 10 |
+      | 1 2   | 8 9   | 7     | complete | 8 9    |
+      | 1 2   | 7 8   | 7     | broken   | none   |
+      | b a   | c     | none  | complete | b a c  |
+
   # Events count as received only once they have been written to the caller.
   Scenario Outline: A stream is given up <when> while the next events come in
     Given an engine that sends <first>, then whole events before a long one
