--- a/cowsliprack/coordination/stream_origins.py
+++ b/cowsliprack/coordination/stream_origins.py
@@ -124,17 +124,15 @@
         """
         self._entries_by_key.pop(key, None)
 
-    def is_begun_at(self, key: str, origin: StreamOrigin, now: float) -> bool:
-        """Return whether this instance began a stream at a given origin.
+    def find_own(self, key: str, now: float) -> StreamOrigin | None:
+        """Return the origin of a stream that this instance began.
 
         :param key: see ``origin_key``.
-        :param origin: service and version.
         :param now: seconds.
         """
         entry = self._entries_by_key.get(key)
-        if entry is None or not entry.is_own or entry.expires_at <= now:
-            return False
-        return entry.origin == origin
+        is_own = entry is not None and entry.is_own
+        return self.find(key, now) if is_own else None
 
     def find(self, key: str, now: float) -> StreamOrigin | None:
         """Return the origin of a stream, if it is known.
--- a/cowsliprack/transport/origin_exchange.py
+++ b/cowsliprack/transport/origin_exchange.py
@@ -51,10 +51,11 @@
     """A question to keepers.
 
     :param open_ids: keepers that have not answered yet.
+    :param origins: of the stream, as those say that know one.
     """
 
     open_ids: set[str]
-    origin: StreamOrigin | None = None
+    origins: set[StreamOrigin] = field(default_factory=set)
     changed: anyio.Event = field(default_factory=anyio.Event)
 
 
@@ -98,7 +99,7 @@
         :param origin: service and version of the target.
         """
         now = self.clock()
-        if self.origins.is_begun_at(key, origin, now):
+        if self.origins.find_own(key, now) == origin:
             return
         self.origins.record(key, origin, now, is_own=True)
         if origin.service in self._announced_services:
@@ -216,20 +217,26 @@
         :param key: see ``origin_key``.
         :param services: to which the stream's route leads.
         """
-        now = self.clock()
-        origin = self.origins.find(key, now)
-        if origin is not None:
-            return FoundOrigin(origin, 'known here')
+        own = self.origins.find_own(key, self.clock())
+        if own is not None:
+            return FoundOrigin(own, 'known here')
         guess = self._guess(services)
         if guess is not None:
             return FoundOrigin(guess, 'only version')
         question = await self._ask(key)
-        if question.origin is not None:
-            return FoundOrigin(question.origin, 'other instance')
+        kept = self.origins.find(key, self.clock())
+        if kept is not None:
+            question.origins.add(kept)
+        if len(question.origins) > 1:
+            return FoundOrigin(None, 'different answers')
+        if question.origins:
+            source = 'known here' if kept else 'other instance'
+            return FoundOrigin(question.origins.pop(), source)
         guess = self._guess(services)
         if guess is not None:
             return FoundOrigin(guess, 'only version')
-        return FoundOrigin(await self._find_recorded(key, services), 'store')
+        recorded = await self._find_recorded(key, services)
+        return FoundOrigin(recorded, 'store' if recorded else 'unknown')
 
     async def _find_recorded(
         self, key: str, services: tuple[str, ...]
@@ -290,6 +297,9 @@
         now = self.clock()
         is_leading = self.recorder.is_leading()
         for key in message.keys:
+            if self.origins.find_own(key, now) is not None:
+                # Begun here since: a late message of an earlier send.
+                continue
             if self.origins.find(key, now) != origin:
                 self.origins.record(key, origin, now, is_own=False)
             if is_leading:
@@ -324,13 +334,14 @@
         if answer.version_ages:
             self.history.join(answer.version_ages, self.clock())
         if answer.is_known:
-            question.origin = StreamOrigin(
-                answer.service, answer.software_version
+            question.origins.add(
+                StreamOrigin(answer.service, answer.software_version)
             )
         question.changed.set()
         question.changed = anyio.Event()
 
     async def _ask(self, key: str) -> _Question:
+        """Ask all keepers, as one may have missed or misread a change."""
         asked = [
             peer
             for peer in keepers(key, self.peers)
@@ -345,7 +356,7 @@
             for peer in asked:
                 self.deliver(peer.instance_id, peer.address, message)
             with anyio.move_on_after(_ANSWER_SECONDS):
-                while question.open_ids and question.origin is None:
+                while question.open_ids:
                     await question.changed.wait()
         finally:
             self._question_by_number.pop(number)
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -193,7 +193,7 @@
             request_id=request.metadata.request_id,
             continued_id=request.metadata.continued_id,
             service=origin.service if origin else request.service,
-            source=found.source if origin else 'unknown',
+            source=found.source,
             waited_ms=round((self.clock() - request.arrived_at) * 1000),
         )
         if origin is None:
--- a/tests/steps/origin_exchange_steps.py
+++ b/tests/steps/origin_exchange_steps.py
@@ -67,6 +67,18 @@
         context.version_by_attempt[attempt] = version
 
 
+@given('messages from {sender} to {receivers} are late')
+def given_late(context, sender, receivers):
+    context.world.late_links = {
+        (sender, receiver) for receiver in receivers.split(', ')
+    }
+
+
+@when('the late messages arrive')
+def when_late(context):
+    context.world.deliver_late()
+
+
 @given('{name} is isolated')
 def given_isolated(context, name):
     context.world.isolated.add(name)
--- a/tests/support/origin_world.py
+++ b/tests/support/origin_world.py
@@ -40,6 +40,9 @@
         # As of the last call of ``copy_store``.
         self.copy = {}
         self.sent = 0
+        # Links, as sender and receiver, whose messages wait.
+        self.late_links = set()
+        self._late_messages = []
         self.exchanges = {}
         self.versions = []
         self._boots = {}
@@ -170,7 +173,17 @@
             self.restart(name)
             self.exchanges[name].inherit(('write', ages))
 
+    def deliver_late(self):
+        """Deliver the messages that wait."""
+        self.late_links = set()
+        for message in self._late_messages:
+            self._deliver(*message)
+        self._late_messages.clear()
+
     def _deliver(self, sender, receiver, message):
+        if (sender, receiver) in self.late_links:
+            self._late_messages.append((sender, receiver, message))
+            return
         self.sent += 1
         if self._is_cut(sender, receiver) or receiver not in self.exchanges:
             return
--- a/tests/transport/origin_exchange.feature
+++ b/tests/transport/origin_exchange.feature
@@ -234,6 +234,37 @@
       | v1      |
       | v2      |
 
+  # Two senders use two connections, which a receiver that was frozen reads in
+  # any order.
+  Scenario Outline: An announcement arrives after the one that replaces it, <who> asked
+    Given targets of the versions v1, v2
+    And all instances know each other
+    And messages from a-1 to b-1, c-1 are late
+    And a-1 has begun streams at v1
+    When a-1 passes them to b-2, which begins them at v2
+    And the late messages arrive
+    Then <instance> finds no wrong version, and that of at least <count> of them
+
+    Examples:
+      | who                                | instance | count |
+      | one that keeps some of the streams | a-2      | 1     |
+      | one that read them late            | c-1      | 1     |
+      | one that passed them on            | a-1      | 1     |
+      | one that began them                | b-2      | 40    |
+
+  Scenario: An instance that began streams hears an announcement that they replace
+    Given targets of the versions v1, v2
+    And all instances know each other
+    And messages from a-1 to b-2 are late
+    And a-1 has begun streams at v1
+    When a-1 passes them to b-2, which begins them at v2
+    And the late messages arrive
+    And a-2 starts again
+    And c-1 starts again
+    And c-2 starts again
+    And the instances learn of each other again
+    Then c-2 finds the version that began each of them
+
   Scenario: A route that leads to several services
     Given targets of the versions v1, v1, v1
     And all instances know each other
