--- a/cowsliprack/transport/origin_exchange.py
+++ b/cowsliprack/transport/origin_exchange.py
@@ -106,6 +106,13 @@
             self._announce([(key, origin)])
             self.recorder.add(key, origin)
 
+    def is_own(self, key: str) -> bool:
+        """Return whether this instance began a stream.
+
+        :param key: see ``origin_key``.
+        """
+        return self.origins.find_own(key, self.clock()) is not None
+
     def forget(self, key: str) -> None:
         """Forget a stream that another instance is about to begin instead.
 
@@ -297,7 +304,7 @@
         now = self.clock()
         is_leading = self.recorder.is_leading()
         for key in message.keys:
-            if self.origins.find_own(key, now) is not None:
+            if self.is_own(key):
                 # Begun here since: a late message of an earlier send.
                 continue
             if self.origins.find(key, now) != origin:
--- a/cowsliprack/transport/origin_recorder.py
+++ b/cowsliprack/transport/origin_recorder.py
@@ -105,6 +105,7 @@
         whether there is one.
     :param recent: returns the streams begun lately that this instance knows;
         they are written again where earlier writes may be missing.
+    :param is_own: returns whether this instance began a stream.
     :param instances: returns the number of instances of the region.
     """
 
@@ -113,6 +114,7 @@
     is_leading: Callable[[], bool]
     send_to_leader: Callable[[StreamsBegun], bool]
     recent: Callable[[], Iterable[tuple[str, StreamOrigin]]]
+    is_own: Callable[[str], bool]
     instances: Callable[[], int] = int
     _origin_by_pending_key: dict[str, StreamOrigin] = field(
         default_factory=dict
@@ -273,6 +275,13 @@
         self._version_by_key[key] = stored.version
 
     def _send(self) -> None:
+        # Members send theirs to a new leader themselves, and those that they
+        # had sent to this instance before may have begun elsewhere since.
+        self._origin_by_pending_key = {
+            key: origin
+            for key, origin in self._origin_by_pending_key.items()
+            if self.is_own(key)
+        }
         sent = map(
             self.send_to_leader,
             begun_messages(self._origin_by_pending_key.items()),
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -119,6 +119,7 @@
                 self.is_leading,
                 self._send_begun,
                 lambda: self.origins.recent(only_own=False),
+                lambda key: self.origins.is_own(key),
                 lambda: len(self.origins.peers),
             ),
             context.clock,
--- a/tests/steps/origin_recorder_steps.py
+++ b/tests/steps/origin_recorder_steps.py
@@ -21,6 +21,13 @@
     _flush(context)
 
 
+@when('{name:w}-{number:d} sends its streams')
+@when('{name:w}-{number:d} writes the streams')
+def when_sent(context, name, number):
+    exchange = context.world.exchanges[f'{name}-{number}']
+    anyio.run(exchange.recorder.flush)
+
+
 @when('the streams are recorded again')
 def when_recorded_again(context):
     # The first flush finds out what is missing, the second one writes it.
--- a/tests/support/origin_world.py
+++ b/tests/support/origin_world.py
@@ -79,6 +79,7 @@
             lambda: name == self.leader,
             send_to_leader,
             lambda: self.exchanges[name].recent(only_own=False),
+            lambda key: self.exchanges[name].is_own(key),
             lambda: self.instance_count or len(self.exchanges),
         )
 
--- a/tests/support/routed.py
+++ b/tests/support/routed.py
@@ -49,7 +49,12 @@
 def lone_origins():
     """Return the origins of streams of an instance without others."""
     recorder = OriginRecorder(
-        InMemoryStore(), time.monotonic, bool, lambda _message: False, tuple
+        InMemoryStore(),
+        time.monotonic,
+        bool,
+        lambda _message: False,
+        tuple,
+        bool,
     )
     return OriginExchange(
         'g1', '', lambda *_message: None, recorder, time.monotonic
--- a/tests/transport/origin_recorder.feature
+++ b/tests/transport/origin_recorder.feature
@@ -54,6 +54,19 @@
     And all instances start again and read the lease
     Then b-2 finds the version that began each of them
 
+  # The members tell the next leader themselves.
+  Scenario: A former leader does not send on what members have told it
+    Given c-2 has begun streams at v1
+    When c-2 sends its streams
+    And no instance leads
+    And c-2 passes them to b-2, which begins them at v2
+    And b-1 begins to lead
+    And b-2 sends its streams
+    And the streams are recorded
+    And all instances start again and read the lease
+    And the instances learn of each other again
+    Then a-2 finds the version that began each of them
+
   Scenario: Streams that were passed on without a leader
     Given c-1 has begun streams at v2
     When the streams are recorded
@@ -66,6 +79,22 @@
     And the instances learn of each other again
     Then b-2 finds the version that began each of them
 
+  Scenario: An instance that passed streams on without a leader leads later
+    Given c-1 has begun streams at v2
+    When the streams are recorded
+    And no instance leads
+    And c-2 begins streams at v1
+    And c-2 passes them to b-1, which begins them at v2
+    And a-1 begins to lead
+    And b-1 sends its streams
+    And a-1 writes the streams
+    And b-1 dies
+    And c-2 begins to lead
+    And the streams are recorded
+    And all instances start again and read the lease
+    And the instances learn of each other again
+    Then b-2 finds the version that began each of them
+
   Scenario: Streams that began without a leader
     Given c-1 has begun streams at v1
     When the streams are recorded
