--- a/cowsliprack/coordination/lease_record.py
+++ b/cowsliprack/coordination/lease_record.py
@@ -234,14 +234,19 @@
         """Record until when the holder acts on the version that it wrote.
 
         The message is delayed, so the holder stops before the recorded time.
+        The end is the same as long as the holder writes no other version, so
+        the earliest one that follows from its messages is recorded.
 
         :param version: of the object that the holder last wrote.
         :param remaining: seconds; zero or less if it has stopped.
         :param now: own clock, seconds.
         """
+        end = now + remaining
+        if version is not None and version == self._announced_version:
+            end = min(end, self.announced_end)
         self._announced_version = version
-        self.announced_end = now + remaining
-        if remaining <= 0:
+        self.announced_end = end
+        if end <= now:
             self._forget_heartbeat()
 
     def _forget_heartbeat(self) -> None:
--- a/tests/coordination/lease.feature
+++ b/tests/coordination/lease.feature
@@ -129,6 +129,15 @@
       | frozen, before the end | 3       | leader | follower |
       | frozen, after the end  | 6.7     | lapsed | leader   |
 
+  Scenario Outline: Late announcements do not prolong a lease: <seconds> seconds
+    When a is frozen and b runs for <seconds> seconds, with announcements of a that arrive later and later
+    Then b has the role <other>
+
+    Examples:
+      | seconds | other    |
+      | 3       | follower |
+      | 6.7     | leader   |
+
   Scenario: A holder that has stopped is succeeded at once
     When a releases its lease without the store and announces it
     And a has the fault "frozen" and b runs for 1 seconds
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -226,6 +226,27 @@
     _announce_term(context)
 
 
+@when(
+    'a is frozen and b runs for {seconds:g} seconds, with announcements of a '
+    'that arrive later and later'
+)
+def when_late_announcements(context, seconds):
+    simulation = context.simulation
+    holder = simulation.leases['a']
+    since = simulation.now
+    remaining = holder.held_until() - since
+    while simulation.now < since + seconds - _TICK_SECONDS / 2:
+        # Sent every tick until the lease ends, each delayed by twice its age.
+        sent_after = (simulation.now - since) / 3
+        simulation.leases['b'].observe_term(
+            holder.fencing,
+            holder.observation.version,
+            remaining - sent_after,
+            simulation.now,
+        )
+        simulation.run(_TICK_SECONDS, ['b'])
+
+
 @when('a releases its lease without the store and announces it')
 def when_releases_without_store(context):
     context.simulation.leases['a'].release(context.simulation.now)
