--- a/cowsliprack/coordination/succession.py
+++ b/cowsliprack/coordination/succession.py
@@ -15,6 +15,9 @@
 # and between the attempts of two; a write to the store takes milliseconds.
 _SMALL_INSTANCE_SECONDS = 0.6
 _TURN_SECONDS = 0.2
+# Time after an outage of the store in which calls made during the outage may
+# still hold a larger instance up, in seconds: the timeout of a call.
+_HELD_UP_SECONDS = 1.0
 # Longest delay. Applies also to instances that reach no engine.
 _MAX_DELAY_SECONDS = 4.0
 
@@ -57,5 +60,20 @@
     )
 
 
+def turns_begin(free_at: float, store_regained_at: float) -> float:
+    """Return the time from which instances count the delays of their turns.
+
+    The turns that pass while the store is out are lost: with the first answer
+    all instances would compete at once, and those that lead well may wait for
+    calls that the store does not answer any more.
+
+    :param free_at: when the lease became free or the instance has started,
+        seconds.
+    :param store_regained_at: time of the store's first answer after its last
+        outage, seconds.
+    """
+    return max(free_at, store_regained_at + _HELD_UP_SECONDS)
+
+
 def _turn_key(instance_id: str, fencing: int) -> tuple[int, str]:
     return zlib.crc32(f'{fencing} {instance_id}'.encode()), instance_id
--- a/cowsliprack/platform/store.py
+++ b/cowsliprack/platform/store.py
@@ -34,6 +34,9 @@
 _WATCH_GRACE_SECONDS = 0.6
 # Longest delay of a call by the call budget or the backoff.
 _MAX_DELAY_SECONDS = 0.5
+# Time without an answer from which calls that fail are taken as an outage, in
+# seconds: one call may hang for so long, and single ones fail sooner.
+_MIN_OUTAGE_SECONDS = CALL_TIMEOUT_SECONDS
 # Limit for one instance; all instances share the rate limits of the store.
 _CALLS_PER_SECOND = 40.0
 _HTTP_OK = 200
@@ -138,6 +141,10 @@
         self._backoff = Backoff(rng or random.Random())
         self._has_era = False
         self.era = 0
+        self.regained_at = float('-inf')
+        self._answered_at = float('-inf')
+        # When the first call without an answer since the last one was sent.
+        self._failing_since: float | None = None
         self._watch_scopes: set[anyio.CancelScope] = set()
         self.calls = 0
 
@@ -348,6 +355,7 @@
     ) -> httpx.Response:
         failures = await self._wait_for_permit()
         self.calls += 1
+        asked_at = self._clock()
         headers = {'content-type': 'application/json'} if content else {}
         try:
             with anyio.fail_after(seconds):
@@ -358,7 +366,7 @@
                     headers=headers,
                 )
         except (httpx.HTTPError, TimeoutError) as error:
-            self._backoff.record_failure(self._clock(), failures)
+            self._record_failure(asked_at, failures)
             raise StoreUnavailableError(
                 f'{method} {path}: {error!r}'
             ) from error
@@ -371,13 +379,32 @@
             _HTTP_GONE,
         }
         if response.status_code not in expected:
-            self._backoff.record_failure(self._clock(), failures)
+            self._record_failure(asked_at, failures)
             raise StoreUnavailableError(
                 f'{method} {path}: unexpected status {response.status_code}',
             )
-        self._backoff.record_success()
+        self._record_answer()
         return response
 
+    def _record_failure(self, asked_at: float, failures: int) -> None:
+        """Count a failed call; one sent before the last answer says nothing.
+
+        :param asked_at: when it was sent, seconds.
+        :param failures: consecutive failures at that time.
+        """
+        self._backoff.record_failure(self._clock(), failures)
+        if asked_at > self._answered_at and self._failing_since is None:
+            self._failing_since = asked_at
+
+    def _record_answer(self) -> None:
+        self._backoff.record_success()
+        now = self._clock()
+        since = self._failing_since
+        if since is not None and now - since >= _MIN_OUTAGE_SECONDS:
+            self.regained_at = now
+        self._answered_at = now
+        self._failing_since = None
+
     async def _wait_for_permit(self) -> int:
         """Wait for budget and backoff; return the count of recent failures."""
         now = self._clock()
--- a/cowsliprack/protocol/store.py
+++ b/cowsliprack/protocol/store.py
@@ -51,9 +51,12 @@
     :param era: number of the store's history as of its last answer. It rises
         when the store comes back from an older copy, which lacks the last
         writes.
+    :param regained_at: time of its first answer after its last outage on the
+        client's clock, seconds; negative infinity if it had none.
     """
 
     era: int
+    regained_at: float
 
     async def read(self, key: str) -> StoredObject | None:
         """Return an object, ``None`` if it does not exist."""
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -13,7 +13,11 @@
 from cowsliprack.coordination.lease_record import LeaseAction
 from cowsliprack.coordination.notice_exchange import MemberNotices
 from cowsliprack.coordination.relayed_targets import stated_version
-from cowsliprack.coordination.succession import leads_well, seconds_before_turn
+from cowsliprack.coordination.succession import (
+    leads_well,
+    seconds_before_turn,
+    turns_begin,
+)
 from cowsliprack.protocol.gateway_messages import (
     CompressedConfiguration,
     ConfigurationCopy,
@@ -244,6 +248,7 @@
             has_lost_engines=self.reach_watch.has_lost_engines(),
         )
         free_at = max(self._started_at, self.lease.observation.announced_end)
+        free_at = turns_begin(free_at, context.store.regained_at)
         may_compete = delay == 0 or now - free_at >= delay
         is_waiting = not may_compete and not self.lease.is_engaged()
         if is_waiting and knows_announcements(self.origins.peers):
--- a/cowsliprack/transport/store_client.py
+++ b/cowsliprack/transport/store_client.py
@@ -127,6 +127,8 @@
         """Open no connection yet."""
         # This protocol states no era: the store never loses a write.
         self.era = 0
+        # Only instances of a region count the time from an outage.
+        self.regained_at = float('-inf')
         self._base_url = base_url
         self._clock = clock
         self._call_seconds = call_seconds
--- a/tests/coordination/succession.feature
+++ b/tests/coordination/succession.feature
@@ -32,6 +32,18 @@
     When the lease becomes free after each of 20 terms
     Then at least 8 different instances are the first to compete
 
+  Scenario Outline: The store answers again while the lease is free: <cores> cores, <seconds> seconds later
+    Given an instance with <cores> cores whose turn to lead came while the store was silent
+    When the store has answered again for <seconds> seconds
+    Then it competes for the lease: <competes>
+
+    Examples:
+      | cores | seconds | competes |
+      | 2.15  | 0.1     | yes      |
+      | 0.516 | 0.1     | no       |
+      | 0.516 | 1.5     | no       |
+      | 0.516 | 1.9     | yes      |
+
   Scenario Outline: Instances of message levels <levels>
     Given the instances of a region have the message levels <levels>
     Then a new leader announces itself to all: <answer>
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -66,6 +66,23 @@
       | update       | applies writes late    | StoreUnavailableError |
       | read         | does not respond       | StoreUnavailableError |
 
+  Scenario Outline: The end of an outage is known: <fault> for <seconds> seconds
+    Given the store <fault>
+    When it is read for <seconds> seconds until it works again, and answers
+    Then the client knows of the end of an outage: <known>
+
+    Examples:
+      | fault            | seconds | known |
+      | does not respond | 0.8     | yes   |
+      | is unavailable   | 1.6     | yes   |
+      | is unavailable   | 0.2     | no    |
+      | works            | 1.2     | no    |
+
+  Scenario: A call that an earlier outage holds up is no new outage
+    Given the store does not respond
+    When a read that gets no answer ends after another read was answered
+    Then the client knows of the end of an outage: no
+
   Scenario: A write without a response is confirmed by reading the object
     Given the store loses responses
     When a update is made
--- a/tests/steps/platform_store_steps.py
+++ b/tests/steps/platform_store_steps.py
@@ -226,6 +226,48 @@
     assert context.outcome == outcome, context.outcome
 
 
+async def _read_own(store):
+    try:
+        await store.read('own/object')
+    except StoreError:
+        return False
+    return True
+
+
+@when('it is read for {seconds:g} seconds until it works again, and answers')
+def when_regained(context, seconds):
+    async def use(store):
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            await _read_own(store)
+            await asyncio.sleep(0.1)
+        given_fault(context, 'works')
+        assert await _read_own(store)
+        return store.regained_at
+
+    context.regained_at = _run_with_store(context, use)
+
+
+@when('a read that gets no answer ends after another read was answered')
+def when_held_up(context):
+    async def use(store):
+        held_up = asyncio.ensure_future(_read_own(store))
+        await asyncio.sleep(0.3)
+        given_fault(context, 'works')
+        assert await _read_own(store)
+        assert not await held_up
+        assert await _read_own(store)
+        return store.regained_at
+
+    context.regained_at = _run_with_store(context, use)
+
+
+@then('the client knows of the end of an outage: {answer}')
+def then_regained(context, answer):
+    age = time.monotonic() - context.regained_at
+    assert (age < 2) == (answer == 'yes'), age
+
+
 @then('the store holds the written object')
 def then_written(context):
     assert context.outcome == 'StoreUnavailableError'
--- a/tests/steps/succession_steps.py
+++ b/tests/steps/succession_steps.py
@@ -7,6 +7,7 @@
 
 from cowsliprack.coordination.freshness import RelayedReading
 from cowsliprack.coordination.lease import Lease
+from cowsliprack.coordination.lease_record import WriteLease
 from cowsliprack.coordination.succession import seconds_before_turn
 from cowsliprack.protocol.gateway_messages import PeerView
 from cowsliprack.protocol.message_level import (
@@ -130,21 +131,57 @@
     # A leader is heard, and all instances know announcements.
     context.now = 1.6
     lease.observation.announced_end = context.now + _LEASE_SECONDS
-    context.region = SimpleNamespace(
-        lease=lease,
-        context=SimpleNamespace(instance_id='i0', cores=0.12),
-        origins=SimpleNamespace(
+    context.region = SimpleNamespace(**_shared_parts(lease, 0.12))
+
+
+def _shared_parts(lease, cores, regained_at=float('-inf')):
+    store = SimpleNamespace(regained_at=regained_at)
+    return {
+        'lease': lease,
+        'context': SimpleNamespace(instance_id='i0', cores=cores, store=store),
+        'origins': SimpleNamespace(
             peers=[
                 PeerView(name, '', 'z', new_process_id())
                 for name in ('i0', 'i1')
             ]
         ),
-        reach_watch=SimpleNamespace(has_lost_engines=lambda: False),
-        _leader_fencing=1,
-        _started_at=0,
+        'reach_watch': SimpleNamespace(has_lost_engines=lambda: False),
+        '_leader_fencing': 1,
+        '_started_at': 0,
+    }
+
+
+# The lease ends at 3 s; the store answers again at 8 s.
+_REGAINED_AT = 8
+
+
+@given(
+    'an instance with {cores:g} cores whose turn to lead came while the store '
+    'was silent'
+)
+def given_turn_in_outage(context, cores):
+    lease = Lease('r', 'i0', '', _LEASE_SECONDS, random.Random(1))
+    lease.observe_term(1, 7, _LEASE_SECONDS, 0)
+    body = {'holder': 'i1', 'fencing': 1, 'duration': _LEASE_SECONDS}
+    context.stored = StoredObject('leases/r', 7, body)
+    context.region = SimpleNamespace(
+        **_shared_parts(lease, cores, _REGAINED_AT)
     )
 
 
+@when('the store has answered again for {seconds:g} seconds')
+def when_answered_again(context, seconds):
+    context.now = _REGAINED_AT + seconds
+    context.region.lease.tick(context.now, competes=False)
+    context.region.lease.on_read(context.stored, context.now)
+
+
+@then('it competes for the lease: {answer}')
+def then_competes(context, answer):
+    action = Region._tick_lease(context.region, context.now)
+    assert isinstance(action, WriteLease) == (answer == 'yes'), action
+
+
 @when('its lease is looked after')
 def when_looked_after(context):
     context.action = Region._tick_lease(context.region, context.now)
--- a/tests/support/object_store.py
+++ b/tests/support/object_store.py
@@ -12,6 +12,7 @@
     """
 
     era = 0
+    regained_at = float('-inf')
     # Calls of each kind that were answered.
     lists = 0
     writes = 0
--- a/tests/support/zone_world.py
+++ b/tests/support/zone_world.py
@@ -149,6 +149,7 @@
     """``ObjectStore`` of one instance."""
 
     era = 0
+    regained_at = float('-inf')
 
     async def read(self, key):
         return await self._call(key, lambda: self.world.objects.get(key))
