--- a/cowsliprack/coordination/demand_rates.py
+++ b/cowsliprack/coordination/demand_rates.py
@@ -11,6 +11,8 @@
 # Demand must last this long before it decides which replicas are needed; until
 # then the placement of the platform is kept.
 _WARM_UP_SECONDS = 3.0
+# Average seconds until the running requests of a model have finished.
+MEAN_RUN_SECONDS = 1.5
 
 
 @dataclass(slots=True)
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -23,7 +23,10 @@
     count_cold_loads,
     max_cold_loads,
 )
-from cowsliprack.coordination.demand_rates import DemandRates
+from cowsliprack.coordination.demand_rates import (
+    MEAN_RUN_SECONDS,
+    DemandRates,
+)
 from cowsliprack.coordination.engine_index import EngineIndex, index_engines
 from cowsliprack.coordination.eviction import cheapest_victims
 from cowsliprack.coordination.load_queue import expected_ends
@@ -48,8 +51,6 @@
 # the leader knows of those that were in flight: two messages and the batching
 # interval for changes.
 _VIEW_PROPAGATION_SECONDS = 0.02
-# Average seconds until the running requests of a model have finished.
-_MEAN_RUN_SECONDS = 1.5
 # Seconds by which each request for an evicted model is delayed.
 _RELOAD_DELAY_SECONDS = 0.8
 # Seconds by which each request is delayed on an engine that has named a limit,
@@ -625,7 +626,7 @@
         if name in self._waiting_models and not others:
             return math.inf
         running = engine.running[name]
-        run_cost = _MEAN_RUN_SECONDS if running else 0
+        run_cost = MEAN_RUN_SECONDS if running else 0
         if others and not self.rates.is_established(now):
             return math.inf
         if self._is_surplus(engine, name):
--- a/cowsliprack/coordination/spare_copies.py
+++ b/cowsliprack/coordination/spare_copies.py
@@ -7,7 +7,10 @@
 
 from dataclasses import dataclass
 
-from cowsliprack.coordination.demand_rates import DemandRates
+from cowsliprack.coordination.demand_rates import (
+    MEAN_RUN_SECONDS,
+    DemandRates,
+)
 from cowsliprack.coordination.engine_index import EngineIndex
 from cowsliprack.state.routing_table import EngineSpec
 
@@ -48,8 +51,13 @@
         is_large = len(index.usable) * _MAX_ENGINE_SHARE >= 1
         if not is_large or not rates.is_established(now):
             return {}
+        # What one engine has no slots for is refused with or without it, and
+        # its repeats count as demand again.
+        most = spec.slots / MEAN_RUN_SECONDS
         expected = {
-            name: rates.rate(name, now) * model.cold_seconds / len(index.usable)
+            name: min(rates.rate(name, now), most)
+            * model.cold_seconds
+            / len(index.usable)
             for name, model in spec.models_by_name.items()
             if name in rates.rate_by_model
             and name not in index.pending_models
--- a/tests/coordination/spare_copies.feature
+++ b/tests/coordination/spare_copies.feature
@@ -38,3 +38,10 @@
       | rate | copies |
       | 5    | 0      |
       | 14   | 1      |
+
+  Scenario: Requests that one engine has no room for are no reason for a second copy
+    Given 30 engines in 3 zones, and the busy model on the first of them alone
+    And engines of 12 slots
+    And 36 models without a copy that requests wait for
+    When the busy model gets 40 requests a second for 25 seconds
+    Then it gets no second copy
--- a/tests/steps/spare_copies_steps.py
+++ b/tests/steps/spare_copies_steps.py
@@ -145,6 +145,12 @@
         )
 
 
+@given('engines of {slots:d} slots')
+def given_slots(context, slots):
+    scheduler = context.fleet.scheduler
+    scheduler.spec = replace(scheduler.spec, slots=slots)
+
+
 def _run(context, models, rate, seconds):
     fleet = context.fleet
     fleet.rate_by_model = dict.fromkeys(models, rate)
