--- a/cowsliprack/coordination/waiting_requests.py
+++ b/cowsliprack/coordination/waiting_requests.py
@@ -31,6 +31,8 @@
     :param target_at: its latency target, seconds.
     :param gives_up_at: when it times out, seconds.
     :param changed: set when it should look for a target again.
+    :param may_return: whether its caller is expected to come back, and to wait
+        again, once it is rejected.
     """
 
     key: GroupKey
@@ -38,6 +40,7 @@
     target_at: float
     gives_up_at: float
     changed: anyio.Event = field(default_factory=anyio.Event)
+    may_return: bool = True
 
 
 @dataclass(slots=True)
@@ -72,7 +75,8 @@
 
         The leader would not learn of the demand for a model otherwise.
 
-        :param waiter: request; ``gives_up_at`` is when its caller comes back.
+        :param waiter: request; ``gives_up_at`` is when its caller comes back,
+            or would have done so.
         """
         self._returning.append(waiter)
 
@@ -118,7 +122,10 @@
         **key._asdict(),
         count=len(group),
         target_in=min(in_time) if in_time else -1,
-        patience=max(waiter.gives_up_at for waiter in group) - now,
+        patience=max(
+            waiter.gives_up_at - now if waiter.may_return else 0
+            for waiter in group
+        ),
         late=len(group) - len(in_time),
         waited=now - min(waiter.since for waiter in group),
     )
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -11,6 +11,7 @@
 from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.load_queue import seconds_until_usable
 from cowsliprack.coordination.poison import PoisonTracker
+from cowsliprack.coordination.stated_times import StatedTimes
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.coordination.waiting_requests import (
     GroupKey,
@@ -66,6 +67,7 @@
     poison: PoisonTracker = field(default_factory=PoisonTracker)
     rng: random.Random = field(default_factory=random.Random)
     is_cut_off: Callable[[str], bool] = _is_never_cut_off
+    stated_times: StatedTimes = field(default_factory=StatedTimes)
 
     async def find(self, request: RoutedRequest) -> TargetRecord:
         """Return the target for a request, waiting for its turn if needed.
@@ -77,6 +79,8 @@
         """
         self._check_reached(request)
         now = self.clock()
+        seconds_left = request.metadata.seconds_left
+        self.stated_times.add(request.route.name, seconds_left, now)
         limits = self.target_selector.limits
         limited = self._limited_targets(request, now)
         limits.want(limited, now)
@@ -191,10 +195,18 @@
         )
         if seconds <= waiter.gives_up_at - now:
             return
-        # The leader plans the load for callers that are expected to come back.
+        # The leader plans the load for callers that are expected to come back,
+        # and first for models with callers that have not done so yet.
         returns_in = cold_seconds if math.isinf(loaded_in) else loaded_in
+        has_come_back = self.stated_times.has_come_back(
+            request.route.name, request.metadata.seconds_left
+        )
         self.waiting_requests.expect_return(
-            replace(waiter, gives_up_at=now + returns_in)
+            replace(
+                waiter,
+                gives_up_at=now + returns_in,
+                may_return=not has_come_back,
+            )
         )
         self.demand_changed()
         raise ServingError(
--- a/tests/steps/target_finder_steps.py
+++ b/tests/steps/target_finder_steps.py
@@ -192,17 +192,8 @@
 )
 @when('a request for m0 that can wait {patience:g} seconds looks for it')
 def when_model_looked_for(context, patience, adapter='', seconds=0.05):
-    now = time.monotonic()
-    fleet = FleetView()
-    fleet.registry.replace(context.records, 1)
-    if context.absences:
-        fleet.updated_at = now - context.view_age
-        fleet.absences.apply(context.absences, now, is_full=True)
-        fleet.loads_due.apply(context.loads_due, now, is_full=True)
-    selector = TargetSelector('z')
-    for target_id, rate in context.rates_by_id.items():
-        selector.limits.record_answer(target_id, rate, now)
-    finder = _finder(fleet, selector, Freshness(60, now))
+    _begin_finder(context)
+    now = context.began_at
     request = routed_request(
         '/chat/x',
         'llm',
@@ -213,12 +204,25 @@
             'id', '', None, model='m0', adapter=adapter.removeprefix('/')
         ),
     )
-    context.finder = finder
-    context.began_at = now
-    context.error = anyio.run(_find_briefly, finder, request, seconds)
+    context.error = anyio.run(_find_briefly, context.finder, request, seconds)
     context.waited = time.monotonic() - now
 
 
+def _begin_finder(context):
+    now = time.monotonic()
+    fleet = FleetView()
+    fleet.registry.replace(context.records, 1)
+    if context.absences:
+        fleet.updated_at = now - context.view_age
+        fleet.absences.apply(context.absences, now, is_full=True)
+        fleet.loads_due.apply(context.loads_due, now, is_full=True)
+    selector = TargetSelector('z')
+    for target_id, rate in context.rates_by_id.items():
+        selector.limits.record_answer(target_id, rate, now)
+    context.finder = _finder(fleet, selector, Freshness(60, now))
+    context.began_at = now
+
+
 async def _find_briefly(finder, request, seconds):
     with anyio.move_on_after(seconds):
         try:
@@ -380,6 +384,36 @@
     assert context.waited < seconds, context.waited
 
 
+@when('a caller that states {stated_time} asks for {model}')
+def when_stating_caller(context, stated_time, model):
+    stated = re.match(r'[\d.]+', stated_time)
+    seconds = float(stated[0]) if stated else None
+    if 'finder' not in context:
+        _begin_finder(context)
+    context.error = anyio.run(
+        _find_briefly,
+        context.finder,
+        routed_request(
+            '/chat/x',
+            'llm',
+            context.began_at,
+            20,
+            exchange=_NotStarted(),
+            metadata=RequestMetadata('id', '', seconds, model=model),
+            first_event_deadline=context.began_at + 2,
+        ),
+        0.05,
+    )
+
+
+@then('1 request for m0 is reported, with callers for {seconds:g} more seconds')
+def then_patient(context, seconds):
+    then_come_back(context, 4)
+    (group,) = context.finder.waiting_requests.group_summaries(context.began_at)
+    assert (group.model, group.count) == ('m0', 1), group
+    assert abs(group.patience - seconds) < 0.5, group
+
+
 @given('an engine that holds m0 and begins to drain')
 def given_leaving_engine(context):
     context.fleet = FleetView()
--- a/tests/transport/target_finder.feature
+++ b/tests/transport/target_finder.feature
@@ -129,6 +129,19 @@
     And 1 request for m0 is reported after 3.5 seconds
     And 0 requests for m0 are reported after 4.5 seconds
 
+  Scenario Outline: Of 20 seconds that callers state, a rejected one states <stated>
+    Given an engine without m0, and a leader that says of m0: loaded in 4 seconds
+    And its last view is 0 seconds old
+    When a caller that states 20 seconds asks for m1
+    And a caller that states <stated> asks for m0
+    Then 1 request for m0 is reported, with callers for <more> more seconds
+
+    Examples:
+      | stated       | more |
+      | 17.1 seconds | 4    |
+      | 13.3 seconds | 0    |
+      | no time      | 4    |
+
   Scenario: A request that waits is rejected once no load can end in time
     Given an engine without m0, and a leader that says of m0: no load
     And its last view is 0 seconds old
