--- a/cowsliprack/transport/crash_watch.py
+++ b/cowsliprack/transport/crash_watch.py
@@ -43,7 +43,8 @@
     async def check(self, target: TargetRecord) -> bool:
         """Return whether a target has crashed, after asking it if needed.
 
-        :param target: target whose connection ended before the response did.
+        :param target: target whose connection ended, before the response did
+            or as the only sign of the end of the response.
         """
         crash = crash_id(target.target_id, str(target.born))
         pending = self._checks_by_crash.get(crash)
--- a/cowsliprack/transport/poison_watch.py
+++ b/cowsliprack/transport/poison_watch.py
@@ -41,12 +41,13 @@
         """Create the check of targets."""
         self._crash_watch = CrashWatch(self.registry, self._on_crash)
 
-    async def check_target(self, target: TargetRecord) -> None:
+    async def check_target(self, target: TargetRecord) -> bool:
         """Count a crash if a target has ended together with a connection.
 
-        :param target: target whose connection ended before the response did.
+        :param target: target whose connection ended.
+        :returns: whether the target has crashed.
         """
-        await self._crash_watch.check(target)
+        return await self._crash_watch.check(target)
 
     def on_send(self, digests: tuple[str, ...], target_id: str) -> int:
         """Record that a request is about to be sent to a target.
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -501,6 +501,8 @@
         body = await _read_answer(
             request.exchange.method, response, self.answers
         )
+        if not _is_end_known(request.exchange.method, response):
+            await _raise_if_crashed(self.poison, target)
         if status >= _MIN_SERVER_ERROR_STATUS and self._may_retry_elsewhere(
             request, target
         ):
@@ -615,6 +617,8 @@
                 splitter.record_written(complete_events)
         if splitter.buffer or not (has_events or _has_framing(response)):
             raise httpx.ReadError('the stream ended inside an event')
+        if not _has_framing(response):
+            await _raise_if_crashed(self.poison, target)
         if not exchange.started:
             await exchange.start_raw(response.status_code, returned)
         await exchange.write(b'', more=False)
@@ -682,6 +686,24 @@
     )
 
 
+def _is_end_known(method: str, response: httpx.Response) -> bool:
+    """Return whether the end of a response needs no end of its connection."""
+    has_no_body = method == 'HEAD' or response.status_code in _EMPTY_STATUSES
+    return has_no_body or _has_framing(response)
+
+
+async def _raise_if_crashed(poison: PoisonWatch, target: TargetRecord) -> None:
+    """Raise if the end of a process may have ended its answer.
+
+    The system closes the connections of a process that has crashed, as a target
+    closes the connection of an answer without a length.
+
+    :raises httpx.ReadError: the target has crashed.
+    """
+    if await poison.check_target(target):
+        raise httpx.ReadError('the target crashed as its answer ended')
+
+
 async def _read_answer(
     method: str, response: httpx.Response, answers: AnswerMemory
 ) -> bytes:
@@ -693,7 +715,6 @@
     :raises httpx.ReadError: the answer ended early.
     """
     body = await read_body(response, MAX_ANSWER_BYTES, answers)
-    has_no_body = method == 'HEAD' or response.status_code in _EMPTY_STATUSES
-    if not (body or has_no_body or _has_framing(response)):
+    if not (body or _is_end_known(method, response)):
         raise httpx.ReadError('the answer ended before its body')
     return body
--- a/tests/steps/route_streams_steps.py
+++ b/tests/steps/route_streams_steps.py
@@ -168,6 +168,37 @@
     context.add_cleanup(context.engine.listener.close)
 
 
+class _EndingEngine(_Engine):
+    """Engine whose process may end with the connection of its answer."""
+
+    def _answer(self, connection):
+        self.heads.append(connection.recv(65536))
+        connection.sendall(_HEAD + self.broken)
+        if self.end == 'crashes':
+            # Wakes the thread that accepts; close() alone leaves it listening.
+            self.listener.shutdown(socket.SHUT_RDWR)
+            self.listener.close()
+
+
+@given('an engine that {fate} after event 1 of a stream without a length')
+def given_ending_stream(context, fate):
+    _listen(context, _EndingEngine(fate, _FIRST, b''))
+
+
+@given('an engine that {fate} in the body of an answer without a length')
+def given_ending_answer(context, fate):
+    body = _ANSWER[:5] if fate == 'crashes' else _ANSWER
+    _listen(context, _EndingEngine(fate, body, b''))
+
+
+def _listen(context, engine):
+    context.engine = engine
+    context.registry = TargetRegistry()
+    record = target_record('e1', address=engine.address)
+    context.registry.records_by_id[record.target_id] = record
+    context.add_cleanup(engine.listener.close)
+
+
 _REACHED_SENDS = {'reached only from another instance': 1, 'the first one': 2}
 
 
@@ -407,7 +438,9 @@
             finder=_Finder(
                 record, getattr(context, 'reached_sends', _MAX_SENDS)
             ),
-            poison=PoisonWatch(TargetRegistry(), time.monotonic),
+            poison=PoisonWatch(
+                getattr(context, 'registry', TargetRegistry()), time.monotonic
+            ),
             origins=context.origins,
             passing=_Passing(),
             apply_retry_limit=lambda _budget: None,
--- a/tests/transport/route_streams.feature
+++ b/tests/transport/route_streams.feature
@@ -19,6 +19,32 @@
       | with a reset             | /chat/   | complete | 1 2    | 2     |
       | after its last event     | /report/ | complete | 1 2    | 1     |
 
+  # A process that ends has its connections closed in an orderly way, so only
+  # the refusal of new ones tells its end from the end of the answer.
+  Scenario Outline: An engine <fate> after event 1, on <path>
+    Given an engine that <fate> after event 1 of a stream without a length
+    When a caller asks for a stream at <path>
+    Then its response is <response> with the events 1
+
+    Examples:
+      | fate          | path     | response |
+      | crashes       | /chat/   | broken   |
+      | crashes       | /report/ | broken   |
+      | has ended it  | /chat/   | complete |
+      | has ended it  | /report/ | complete |
+
+  Scenario Outline: An engine <fate> in an answer without a length, on <path>
+    Given an engine that <fate> in the body of an answer without a length
+    When a caller asks for an answer at <path>
+    Then the outcome is <outcome>
+
+    Examples:
+      | fate          | path     | outcome          |
+      | crashes       | /order/  | target_failed    |
+      | crashes       | /stock/  | target_failed    |
+      | has ended it  | /order/  | the whole answer |
+      | has ended it  | /stock/  | the whole answer |
+
   Scenario Outline: A begun stream is answered with <answer> where it goes on
     Given an engine whose stream breaks off, and which then answers with <answer>
     When a caller asks for a stream at /chat/
