--- a/tests/steps/crash_watch_steps.py
+++ b/tests/steps/crash_watch_steps.py
@@ -1,5 +1,7 @@
 """Steps for the detection of crashed targets."""
 
+import math
+import time
 from dataclasses import replace
 
 import anyio
@@ -17,14 +19,20 @@
     context.registry = TargetRegistry()
     context.registry.replace([context.target], 1)
     context.crashes = []
+    context.closed_after = math.inf
+    context.broke_at = 0
+    context.asked = None
     context.connections = 0
 
     async def is_refused(_host, _port):
         context.connections += 1
+        if context.asked is not None:
+            context.asked.set()
         if kind == 'drops every packet':
             await anyio.sleep_forever()
         await anyio.lowlevel.checkpoint()
-        return kind == 'refuses connections'
+        is_closed = time.monotonic() >= context.closed_after + context.broke_at
+        return kind == 'refuses connections' or is_closed
 
     context.watch = CrashWatch(
         context.registry,
@@ -33,9 +41,16 @@
     )
 
 
+@given('its port is closed {delay:d} ms after its connections')
+def given_closed_later(context, delay):
+    context.closed_after = delay / 1000
+
+
 @when('{count:d} request to it breaks')
 @when('{count:d} requests to it break at the same time')
 def when_break(context, count):
+    context.broke_at = time.monotonic()
+
     async def break_all():
         async with anyio.create_task_group() as tasks:
             for _ in range(count):
@@ -58,8 +73,11 @@
 @when('a caller leaves during the check')
 def when_leaves(context):
     async def leave():
-        with anyio.move_on_after(0.01):
-            await context.watch.check(context.target)
+        context.asked = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(context.watch.check, context.target)
+            await context.asked.wait()
+            tasks.cancel_scope.cancel()
 
     anyio.run(leave)
 
--- a/tests/transport/crash_watch.feature
+++ b/tests/transport/crash_watch.feature
@@ -15,6 +15,18 @@
       | drops every packet       | ready    | 8     | 0       | 1           |
       | refuses connections      | draining | 8     | 0       | 0           |
 
+  # The system closes the port of a process after some of its connections.
+  Scenario Outline: The port of a target is closed <delay> ms after a connection
+    Given a registered target that is ready and accepts connections
+    And its port is closed <delay> ms after its connections
+    When <count> requests to it break at the same time
+    Then 1 crashes are recorded with 1 new connections
+
+    Examples:
+      | delay | count |
+      | 10    | 1     |
+      | 10    | 8     |
+
   Scenario: A target that has been removed from the list is not taken for crashed
     Given a registered target that is ready and refuses connections
     When its entry is removed
