--- a/cowsliprack/state/routing_table.py
+++ b/cowsliprack/state/routing_table.py
@@ -152,15 +152,6 @@
     idle_seconds: float = 15
     max_body_bytes: int = 4194304
 
-    def split_services(self) -> set[str]:
-        """Return the services that share a route with other services."""
-        split: set[str] = set()
-        for routes in self.routes_by_host.values():
-            for route in routes:
-                if len(route.services) > 1:
-                    split.update(name for name, _ in route.services)
-        return split
-
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or ``None``.
 
--- a/cowsliprack/transport/origin_exchange.py
+++ b/cowsliprack/transport/origin_exchange.py
@@ -7,6 +7,7 @@
 import anyio
 import structlog
 
+from cowsliprack.coordination.route_history import RouteHistory
 from cowsliprack.coordination.stream_origins import (
     StreamOrigins,
     VersionHistory,
@@ -21,6 +22,7 @@
     StreamsBegun,
 )
 from cowsliprack.protocol.peer import AnyPeerMessage
+from cowsliprack.state.routing_table import Route, RoutingTable
 from cowsliprack.state.stream_origin import FoundOrigin, StreamOrigin
 from cowsliprack.state.target_registry import TargetRegistry
 from cowsliprack.transport.origin_recorder import (
@@ -68,7 +70,6 @@
     :param deliver: sends a message to an instance (id, address, message).
     :param recorder: keeps the origins in the store.
     :param clock: seconds; must keep running during suspension.
-    :param split_services: returns the services that share a route with others.
     :param is_isolated: returns whether the list of targets may be out of date.
     :param peers: instances of the region, ordered by id.
     :param peers_digest: digest of ``peers``; 0 before the first list.
@@ -80,10 +81,10 @@
     deliver: Deliver
     recorder: OriginRecorder
     clock: Callable[[], float]
-    split_services: Callable[[], set[str]] = set
     is_isolated: Callable[[], bool] = bool
     origins: StreamOrigins = field(default_factory=StreamOrigins)
     history: VersionHistory = field(default_factory=VersionHistory)
+    route_history: RouteHistory = field(default_factory=RouteHistory)
     peers: tuple[PeerView, ...] = ()
     peers_digest: int = 0
     peers_at: float = 0
@@ -132,11 +133,19 @@
         self.history.observe(registry, self.clock())
         self.update_announced()
 
+    def configuration_changed(self, table: RoutingTable) -> None:
+        """Apply a new configuration.
+
+        :param table: its routes.
+        """
+        self.route_history.observe(table, self.clock())
+        self.update_announced()
+
     def update_announced(self) -> None:
         """Announce the streams of services that can no longer be guessed."""
         now = self.clock()
         versions_by_service = self.history.versions(now)
-        announced = self.split_services() | {
+        announced = self.route_history.split_services(now) | {
             service
             for service, versions in versions_by_service.items()
             if len(versions) > 1
@@ -218,16 +227,16 @@
             only_own=only_own,
         )
 
-    async def find(self, key: str, services: tuple[str, ...]) -> FoundOrigin:
+    async def find(self, key: str, route: Route) -> FoundOrigin:
         """Find out what may go on with a stream.
 
         :param key: see ``origin_key``.
-        :param services: to which the stream's route leads.
+        :param route: of the stream.
         """
         own = self.origins.find_own(key, self.clock())
         if own is not None:
             return FoundOrigin(own, 'known here')
-        guess = self._guess(services)
+        guess = self._guess(route)
         if guess is not None:
             return FoundOrigin(guess, 'only version')
         question = await self._ask(key)
@@ -239,15 +248,16 @@
         if question.origins:
             source = 'known here' if kept else 'other instance'
             return FoundOrigin(question.origins.pop(), source)
-        guess = self._guess(services)
+        guess = self._guess(route)
         if guess is not None:
             return FoundOrigin(guess, 'only version')
-        recorded = await self._find_recorded(key, services)
+        recorded = await self._find_recorded(key, route)
         return FoundOrigin(recorded, 'store' if recorded else 'unknown')
 
     async def _find_recorded(
-        self, key: str, services: tuple[str, ...]
+        self, key: str, route: Route
     ) -> StreamOrigin | None:
+        services = self.route_history.services(route, self.clock())
         if self._announced_services.isdisjoint(services):
             return None
         recorded = await self.recorder.find(key)
@@ -255,7 +265,7 @@
             self.origins.record(key, recorded, self.clock(), is_own=False)
         return recorded
 
-    def _guess(self, services: tuple[str, ...]) -> StreamOrigin | None:
+    def _guess(self, route: Route) -> StreamOrigin | None:
         """Return the only possible origin of streams; ``None`` if unsure."""
         now = self.clock()
         is_alone = (
@@ -267,7 +277,7 @@
         versions_by_service = self.history.versions(now)
         possible = [
             StreamOrigin(service, version)
-            for service in services
+            for service in self.route_history.services(route, now)
             for version in versions_by_service.get(service) or ('',)
         ]
         return possible[0] if len(possible) == 1 else None
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -127,7 +127,6 @@
                 lambda: len(self.origins.peers),
             ),
             context.clock,
-            lambda: context.table().split_services(),
             lambda: is_isolated(
                 context.fleet, context.freshness, context.clock()
             ),
@@ -188,7 +187,7 @@
 
     def configuration_changed(self) -> None:
         """Apply a new configuration."""
-        self.origins.update_announced()
+        self.origins.configuration_changed(self.context.table())
         if self.term is not None:
             self.term.apply_configuration()
 
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -183,7 +183,7 @@
         """Find out where a stream may go on that a caller takes up again."""
         found = await self.origins.find(
             request.origin_key(request.metadata.continued_id),
-            tuple(name for name, _ in request.route.services),
+            request.route,
         )
         origin = found.origin
         log_decision(
--- a/tests/steps/origin_exchange_steps.py
+++ b/tests/steps/origin_exchange_steps.py
@@ -6,7 +6,7 @@
 from cowsliprack.coordination import stream_origins
 from cowsliprack.protocol.gateway_messages import PeerView
 from cowsliprack.state.stream_origin import StreamOrigin
-from tests.support.origin_world import SERVICE, OriginWorld
+from tests.support.origin_world import OTHER_SERVICE, SERVICE, OriginWorld
 
 _STREAMS = 40
 
@@ -43,9 +43,12 @@
 @given('a route that leads to s and another service')
 @when('the route leads to s and another service')
 def given_split(context):
-    context.world.split = {SERVICE, 'other'}
-    for exchange in context.world.exchanges.values():
-        exchange.update_announced()
+    context.world.lead_route_to((SERVICE, OTHER_SERVICE))
+
+
+@when('the route leads to the other service only')
+def when_moved(context):
+    context.world.lead_route_to((OTHER_SERVICE,))
 
 
 @given('{name} has begun streams at {versions}')
@@ -59,6 +62,15 @@
         context.world.begin(name, attempt, version)
 
 
+@when('{name} begins streams of the other service')
+def when_begun_there(context, name):
+    context.version_by_attempt = {}
+    for number in range(_STREAMS):
+        attempt = f'{name}-other-{number}'
+        context.version_by_attempt[attempt] = 'v1'
+        context.world.begin(name, attempt, 'v1', OTHER_SERVICE)
+
+
 @when('{name} passes them to {other}, which begins them at {version}')
 def when_passed(context, name, other, version):
     for attempt in context.version_by_attempt:
@@ -116,11 +128,11 @@
     context.world.now += seconds
 
 
-def _found(context, name, services=(SERVICE,)):
+def _found(context, name):
     found = {}
 
     async def find(attempt):
-        found[attempt] = await context.world.take_up(name, attempt, services)
+        found[attempt] = await context.world.take_up(name, attempt)
 
     async def find_all():
         async with anyio.create_task_group() as tasks:
@@ -167,16 +179,22 @@
 
 @then('{name} does not guess the service')
 def then_no_guess(context, name):
-    found = _found(context, name, (SERVICE, 'other'))
+    found = _found(context, name)
     assert set(found.values()) == {None}, found
 
 
 @then('{name} finds the service that began each of them')
 def then_service(context, name):
-    found = _found(context, name, (SERVICE, 'other'))
+    found = _found(context, name)
     assert {origin.service for origin in found.values()} == {SERVICE}, found
 
 
+@then('{name} finds that the other service began each of them')
+def then_other_service(context, name):
+    found = _found(context, name)
+    assert set(found.values()) == {StreamOrigin(OTHER_SERVICE, 'v1')}, found
+
+
 @then('no message was sent')
 def then_quiet(context):
     assert not context.world.sent, context.world.sent
--- a/tests/support/origin_world.py
+++ b/tests/support/origin_world.py
@@ -1,5 +1,6 @@
 """Instances that exchange the origins of streams over links that can be cut."""
 
+import dataclasses
 import itertools
 
 from cowsliprack.coordination.stream_origins import origin_key
@@ -11,14 +12,17 @@
     StreamsBegun,
 )
 from cowsliprack.protocol.peer import decode_message, encode_message
+from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.state.stream_origin import StreamOrigin
 from cowsliprack.state.target_registry import TargetRegistry
 from cowsliprack.transport.origin_exchange import OriginExchange
 from cowsliprack.transport.origin_recorder import OriginRecorder
+from tests.support.gateway_cluster import HOST
 from tests.support.object_store import InMemoryStore
-from tests.support.routed import target_record
+from tests.support.routed import TABLE, target_record
 
 SERVICE = 's'
+OTHER_SERVICE = 'other'
 _LEADER = 'a-1'
 
 
@@ -30,7 +34,7 @@
 
     def __init__(self, names):
         self.now = 1000.0
-        self.split = set()
+        self.table = _table((SERVICE,))
         self.cut_zones = set()
         self.isolated = set()
         self.leader = _LEADER
@@ -63,9 +67,9 @@
             deliver,
             self._create_recorder(name),
             lambda: self.now,
-            lambda: self.split,
-            lambda: name in self.isolated,
+            is_isolated=lambda: name in self.isolated,
         )
+        self.exchanges[name].configuration_changed(self.table)
 
     def _create_recorder(self, name):
         def send_to_leader(message):
@@ -120,22 +124,32 @@
             target_record(f'e{number}', software_version=version)
             for number, version in enumerate(self.versions)
         ]
+        records.append(
+            target_record('o', service=OTHER_SERVICE, software_version='v1')
+        )
         registry.replace(records, next(self._numbers))
         exchange.registry_changed(registry)
 
-    def begin(self, name, attempt, version):
+    def lead_route_to(self, services):
+        """Let the route lead to services, as all instances learn."""
+        self.table = _table(services)
+        for exchange in self.exchanges.values():
+            exchange.configuration_changed(self.table)
+
+    def begin(self, name, attempt, version, service=SERVICE):
         """Send a new stream to a target of a version."""
         key = origin_key('desk', attempt)
-        self.exchanges[name].begin(key, StreamOrigin(SERVICE, version))
+        self.exchanges[name].begin(key, StreamOrigin(service, version))
 
     def pass_on(self, name, attempt):
         """Leave a stream that an instance has sent to another instance."""
         self.exchanges[name].forget(origin_key('desk', attempt))
 
-    async def take_up(self, name, attempt, services=(SERVICE,)):
+    async def take_up(self, name, attempt):
         """Return the origin that an instance finds for a stream."""
         key = origin_key('desk', attempt)
-        found = await self.exchanges[name].find(key, services)
+        route = self.table.routes_by_host[HOST][0]
+        found = await self.exchanges[name].find(key, route)
         return found.origin
 
     def share_peers(self, *, to_cut=True):
@@ -201,3 +215,11 @@
         return sender[0] != receiver[0] and bool(
             {sender[0], receiver[0]} & self.cut_zones
         )
+
+
+def _table(services):
+    route = dataclasses.replace(
+        TABLE.find_route(HOST, '/chat/x'),
+        services=tuple((service, 1) for service in services),
+    )
+    return RoutingTable(routes_by_host={HOST: (route,)})
--- a/tests/transport/origin_exchange.feature
+++ b/tests/transport/origin_exchange.feature
@@ -281,6 +281,50 @@
     And a route that leads to s and another service
     Then c-2 does not guess the service
 
+  Scenario: The route moves to another service
+    Given targets of the versions v1, v1, v1
+    And all instances know each other
+    And a-1 has begun streams at v1
+    When the route leads to the other service only
+    And a-1 dies
+    Then c-2 finds the service that began each of them
+
+  Scenario: The route moves to another service by way of both
+    Given targets of the versions v1, v1, v1
+    And all instances know each other
+    And a-1 has begun streams at v1
+    When the route leads to s and another service
+    And 50 seconds pass
+    And the route leads to the other service only
+    And a-1 dies
+    Then c-2 finds the service that began each of them
+
+  Scenario: Streams begin after the route has moved
+    Given targets of the versions v1, v1, v1
+    And all instances know each other
+    When the route leads to the other service only
+    And a-1 begins streams of the other service
+    And a-1 dies
+    Then c-2 finds that the other service began each of them
+
+  Scenario: An unknown stream of a route that has moved
+    Given targets of the versions v1, v1, v1
+    And all instances know each other
+    And zone a, b, c is cut off
+    And a-1 has begun streams at v1
+    When the route leads to the other service only
+    Then c-2 does not guess the service
+
+  # No stream of the earlier service can be taken up any more.
+  Scenario: An unknown stream of a route that moved long ago
+    Given targets of the versions v1, v1, v1
+    And all instances know each other
+    And zone a, b, c is cut off
+    When the route leads to the other service only
+    And 121 seconds pass
+    And a-1 begins streams of the other service
+    Then c-2 finds that the other service began each of them
+
   Scenario Outline: Who keeps a stream: <instances> instances in each of <zones> zones
     Given <instances> instances in each of <zones> zones
     Then each stream is kept by <keepers> instances in <zones> zones
