--- a/cowsliprack/coordination/stream_origins.py
+++ b/cowsliprack/coordination/stream_origins.py
@@ -83,6 +83,7 @@
     origin: StreamOrigin
     expires_at: float
     is_own: bool
+    is_final: bool
 
 
 @dataclass(slots=True)
@@ -98,6 +99,7 @@
         now: float,
         *,
         is_own: bool,
+        is_final: bool = False,
     ) -> None:
         """Record the origin of a stream; a later one replaces it.
 
@@ -105,11 +107,15 @@
         :param origin: of the stream.
         :param now: seconds.
         :param is_own: whether this instance began the stream.
+        :param is_final: whether the caller has events, so that no later send
+            can begin the stream elsewhere.
         """
         entries = self._entries_by_key
         # The newest is the last, so that the oldest is dropped at the bound.
         entries.pop(key, None)
-        entries[key] = _Entry(origin, now + ORIGIN_LIFETIME_SECONDS, is_own)
+        entries[key] = _Entry(
+            origin, now + ORIGIN_LIFETIME_SECONDS, is_own, is_final
+        )
         while entries:
             oldest = next(iter(entries))
             is_expired = entries[oldest].expires_at <= now
@@ -145,6 +151,16 @@
             return None
         return entry.origin
 
+    def find_settled(self, key: str, now: float) -> StreamOrigin | None:
+        """Return an origin that no announcement of others can replace.
+
+        :param key: see ``origin_key``.
+        :param now: seconds.
+        """
+        entry = self._entries_by_key.get(key)
+        is_settled = entry is not None and (entry.is_own or entry.is_final)
+        return self.find(key, now) if is_settled else None
+
     def own(self, service: str, now: float) -> list[tuple[str, StreamOrigin]]:
         """Return the streams of a service that this instance began.
 
--- a/cowsliprack/transport/origin_exchange.py
+++ b/cowsliprack/transport/origin_exchange.py
@@ -233,14 +233,14 @@
         :param key: see ``origin_key``.
         :param route: of the stream.
         """
-        own = self.origins.find_own(key, self.clock())
-        if own is not None:
-            return FoundOrigin(own, 'known here')
+        known = self.origins.find_settled(key, self.clock())
+        if known is not None:
+            return FoundOrigin(known, 'known here')
         guess = self._guess(route)
         if guess is not None:
             return FoundOrigin(guess, 'only version')
         question = await self._ask(key)
-        kept = self.origins.find(key, self.clock())
+        kept = self._find_current(key, self.clock())
         if kept is not None:
             question.origins.add(kept)
         if len(question.origins) > 1:
@@ -262,9 +262,24 @@
             return None
         recorded = await self.recorder.find(key)
         if recorded is not None:
-            self.origins.record(key, recorded, self.clock(), is_own=False)
+            self.origins.record(
+                key, recorded, self.clock(), is_own=False, is_final=True
+            )
         return recorded
 
+    def _find_current(self, key: str, now: float) -> StreamOrigin | None:
+        """Return a known origin unless a later send may have replaced it.
+
+        Only keepers are told of later sends. An instance that has led or kept
+        the stream before may know an earlier one.
+        """
+        settled = self.origins.find_settled(key, now)
+        if settled is not None:
+            return settled
+        kept_by = {peer.instance_id for peer in keepers(key, self.peers)}
+        is_keeper = self.instance_id in kept_by
+        return self.origins.find(key, now) if is_keeper else None
+
     def _guess(self, route: Route) -> StreamOrigin | None:
         """Return the only possible origin of streams; ``None`` if unsure."""
         now = self.clock()
@@ -328,7 +343,7 @@
         :param question: of the instance that a caller asks to go on.
         """
         now = self.clock()
-        origin = self.origins.find(question.key, now)
+        origin = self._find_current(question.key, now)
         reply = OriginAnswer(
             instance_id=self.instance_id,
             number=question.number,
--- a/tests/steps/origin_exchange_steps.py
+++ b/tests/steps/origin_exchange_steps.py
@@ -33,6 +33,11 @@
     context.world.share_peers(to_cut=False)
 
 
+@when('{name} knows of {other} only')
+def when_few_known(context, name, other):
+    context.world.show_peers(name, (other,))
+
+
 @given('the other instances are gone')
 def given_gone(context):
     for name in list(context.world.exchanges):
--- a/tests/support/origin_world.py
+++ b/tests/support/origin_world.py
@@ -152,22 +152,29 @@
         found = await self.exchanges[name].find(key, route)
         return found.origin
 
-    def share_peers(self, *, to_cut=True):
-        """Let the leader tell the instances of each other."""
+    def _leader_view(self, names):
         peers = tuple(
             PeerView(name, name, name[0], self._boots[name])
-            for name in sorted(self.exchanges)
+            for name in sorted(names)
         )
-        ages = self.exchanges[self.leader].version_ages()
-        view = LeaderView(
+        return LeaderView(
             1,
             1,
             self.leader,
             self.leader,
             peers=peers,
             peers_digest=next(self._numbers),
-            version_ages=ages,
+            version_ages=self.exchanges[self.leader].version_ages(),
         )
+
+    def show_peers(self, name, others):
+        """Let the leader tell one instance of some others."""
+        view = self._leader_view((name, *others))
+        self.exchanges[name].apply_peers(view)
+
+    def share_peers(self, *, to_cut=True):
+        """Let the leader tell the instances of each other."""
+        view = self._leader_view(self.exchanges)
         for name, exchange in self.exchanges.items():
             if to_cut or name[0] not in self.cut_zones:
                 exchange.apply_peers(view)
--- a/tests/transport/origin_exchange.feature
+++ b/tests/transport/origin_exchange.feature
@@ -325,6 +325,35 @@
     And a-1 begins streams of the other service
     Then c-2 finds that the other service began each of them
 
+  # It does not learn of the later send unless it is one of the keepers.
+  Scenario Outline: An earlier leader was told of the first send only, <from>
+    Given targets of the versions v1, v1, v2
+    And all instances know each other
+    And c-1 has begun streams at v1
+    When the streams are recorded
+    And b-2 begins to lead
+    And c-1 passes them to <from>, which begins them at v2
+    And the streams are recorded
+    Then a-1 finds the version that began each of them
+    And c-2 finds the version that began each of them
+
+    Examples:
+      | from |
+      | c-1  |
+      | b-1  |
+
+  Scenario: An earlier leader is asked by an instance that takes it for a keeper
+    Given targets of the versions v1, v1, v2
+    And all instances know each other
+    And c-1 has begun streams at v1
+    When the streams are recorded
+    And b-2 begins to lead
+    And c-1 passes them to b-1, which begins them at v2
+    And the streams are recorded
+    And c-2 starts again
+    And c-2 knows of a-1 only
+    Then c-2 finds the version that began each of them
+
   Scenario Outline: Who keeps a stream: <instances> instances in each of <zones> zones
     Given <instances> instances in each of <zones> zones
     Then each stream is kept by <keepers> instances in <zones> zones
