--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -65,6 +65,8 @@
     :param stamp: stamp of the last unanswered report; 0 for none.
     :param copied_generation: generation of the last configuration sent to it.
     :param copied_at: when that was sent, seconds.
+    :param told_at: when the last view was sent to it, seconds.
+    :param is_view_due: whether there is news that no view sent to it holds.
     """
 
     report: MemberReport
@@ -72,6 +74,8 @@
     stamp: float = 0
     copied_generation: int = 0
     copied_at: float = float('-inf')
+    told_at: float = float('-inf')
+    is_view_due: bool = False
 
     def needs_copy(self, generation: int, now: float) -> bool:
         """Return whether the configuration is due to be sent to it.
--- a/cowsliprack/transport/peer_sockets.py
+++ b/cowsliprack/transport/peer_sockets.py
@@ -80,6 +80,7 @@
         self.address = f'{host}:{port}'
         self.undecodable_messages = 0
         self.dropped_messages = 0
+        self.sent_bytes = 0
         self._keys = derive_keys(fleet_secret)
         self._context = zmq_asyncio.Context()
         self._authenticator = AsyncioAuthenticator(self._context)
@@ -169,6 +170,7 @@
         except zmq.ZMQError:
             self.dropped_messages += 1
             return False
+        self.sent_bytes += len(frame)
         return True
 
     async def receive(self) -> tuple[str, AnyPeerMessage]:
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -45,6 +45,7 @@
 from cowsliprack.transport.order_executor import OrderExecutor
 from cowsliprack.transport.reach_watch import ReachWatch
 from cowsliprack.transport.region_context import RegionContext
+from cowsliprack.transport.view_pacing import ViewPacing
 
 # Changes within this time are planned and sent to the members as one batch. The
 # time grows with the number of members, because planning and sending take some
@@ -116,6 +117,11 @@
         self._copies = ConfigurationCopies(
             context.configuration_copy, deliver, context.link_megabits
         )
+        self._views = ViewPacing(
+            context.link_megabits,
+            lambda: context.sockets.sent_bytes,
+            self._send_view,
+        )
         self._notices = LeaderNotices(context.instance_id, lease.fencing)
         self._executor = OrderExecutor(
             self.state,
@@ -329,16 +335,14 @@
 
     def _send_views(self, *, to_all: bool) -> None:
         now = self._context.clock()
-        left = self._lease.held_until() - now
-        for member in self.state.members_by_id.values():
-            if to_all or member.stamp:
-                self._send_view(member, 0 if self._ended else max(left, 0))
+        members = self.state.members_by_id.values()
+        if self._ended:
+            self._views.send_last(members, now)
+        else:
+            self._views.send(members, now, to_all=to_all)
+        for member in members:
             self._send_notices(member, now)
-        self._copies.send(
-            self.state.members_by_id.values(),
-            self._context.table().generation,
-            now,
-        )
+        self._copies.send(members, self._context.table().generation, now)
 
     def _send_notices(self, member: Member, now: float) -> None:
         report = member.report
@@ -348,9 +352,10 @@
         if notices is not None:
             self._deliver(report.instance_id, report.address, notices)
 
-    def _send_view(self, member: Member, left: float) -> None:
+    def _send_view(self, member: Member) -> None:
         context = self._context
         now = context.clock()
+        left = 0 if self._ended else max(self._lease.held_until() - now, 0)
         report = member.report
         proof_offset = None
         if member.stamp:
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -256,6 +256,7 @@
         table=lambda: SimpleNamespace(generation=context.generation),
         configuration_copy=lambda: b'{}',
         link_megabits=1000,
+        sockets=SimpleNamespace(sent_bytes=0),
         first_start=True,
     )
     lease = SimpleNamespace(
