--- a/tests/platform/stream_versions.feature
+++ b/tests/platform/stream_versions.feature
@@ -1,7 +1,8 @@
-Feature: Streams of several software versions after restarts of the gateways
+Feature: Streams of several software versions after restarts and silence
   Guards against streams that go on at another software version than the one that
   began them, and against streams that nobody takes up, after processes were
-  killed that knew which version began them (P8).
+  killed that knew which version began them, or beside engines that do not answer
+  (P8).
 
   Background:
     Given two gateways on the platform
@@ -27,3 +28,13 @@
     And g1 and g2 are killed and start again
     And the callers go on at g1 and g2
     Then each stream was completed by the software version that began it
+
+  # Otherwise g1 sends its callers to the version of its own first send. With
+  # five gateways four others keep the stream, so that nobody corrects g1.
+  Scenario: A gateway takes up a stream that it sent to an engine and passed on
+    Given e2 runs another software version
+    And three more gateways
+    When g1 sends a stream of m0 to e1, gets no answer and passes it on to e2
+    And the callers go on at g1 and g2
+    Then each stream was completed by the software version that began it
+    And engines of v2 began some of them
--- a/tests/steps/stream_versions_steps.py
+++ b/tests/steps/stream_versions_steps.py
@@ -1,10 +1,13 @@
-"""Steps for streams that are taken up after restarts of the gateways."""
+"""Steps for streams that are taken up after restarts or silence."""
 
 import contextlib
+import itertools
 import time
 
-from behave import then, when
+from behave import given, then, when
 
+from cowsliprack.coordination.stream_origins import keepers, origin_key
+from cowsliprack.protocol.gateway_messages import PeerView
 from tests.support.gateway_streams import (
     begin_stream,
     event_ids,
@@ -21,6 +24,11 @@
 # last leader expires after 1.5 s.
 _SETTLE_SECONDS = 3.0
 _GATEWAYS = ('g1', 'g2')
+_MORE_GATEWAYS = ('g3', 'g4', 'g5')
+# Time in which the gateways read an entry; a watch takes milliseconds.
+_READ_SECONDS = 0.5
+# Longest wait for a line of a log; health checks take up to 0.8 s.
+_LOG_SECONDS = 5.0
 
 
 @when('{count:d} streams of m0 have run for {seconds:g} seconds at g1')
@@ -37,6 +45,76 @@
     time.sleep(seconds)
 
 
+@given('three more gateways')
+def given_more(context):
+    for name in _MORE_GATEWAYS:
+        context.cluster.launch(name)
+    for name in _MORE_GATEWAYS:
+        context.cluster.wait_ready(name)
+
+
+@when(
+    'g1 sends a stream of m0 to e1, gets no answer and passes it on to e2',
+)
+def when_passed_on(context):
+    cluster = context.cluster
+    # g1 can pass streams on once it knows the others.
+    _wait_for_log(cluster, 'g1', '"peers":["g1","g2","g3","g4","g5"]')
+    _set_states(cluster, e1='ready', e2='draining')
+    cluster.cut_off('g1', 'hang')
+    stack = contextlib.ExitStack()
+    context.add_cleanup(stack.close)
+    attempt, connection = begin_stream(
+        cluster, stack, 'g1', _MODEL, _attempt_kept_by_others()
+    )
+    _wait_for_log(cluster, 'g1', '"choice":"lost"', '"service":"llm"')
+    _wait_for_log(cluster, 'g1', f'"{attempt}"', '"choice":"e1"')
+    for name in ('e1', 'e2'):
+        cluster.engines[name].event_seconds = _EVENT_SECONDS
+    _set_states(cluster, e1='draining', e2='ready')
+    context.begun = [(attempt, read_event(connection))]
+    _wait_for_log(cluster, 'g1', f'"{attempt}"', '"pass_on","choice":"g')
+    connection.close()
+    _set_states(cluster, e1='ready', e2='ready')
+    cluster.end_cut()
+    _wait_for_log(cluster, 'g1', '"choice":"regained"', '"service":"llm"')
+
+
+def _attempt_kept_by_others():
+    peers = tuple(
+        PeerView(name, '', 'zone-a', '')
+        for name in (*_GATEWAYS, *_MORE_GATEWAYS)
+    )
+    attempts = (f'stream-{number}' for number in itertools.count(1000))
+    return next(
+        attempt
+        for attempt in attempts
+        if all(
+            peer.instance_id != 'g1'
+            for peer in keepers(origin_key('desk', attempt), peers)
+        )
+    )
+
+
+def _set_states(cluster, **state_by_name):
+    for name, state in state_by_name.items():
+        engine = cluster.engines[name]
+        engine.state = state
+        cluster.call(engine.register)
+    # Until the gateways have read the entries.
+    time.sleep(_READ_SECONDS)
+
+
+def _wait_for_log(cluster, name, *texts):
+    end = time.monotonic() + _LOG_SECONDS
+    while not any(
+        all(text in line for text in texts)
+        for line in cluster.log(name).splitlines()
+    ):
+        assert time.monotonic() < end, (texts, cluster.log(name)[-2000:])
+        time.sleep(0.05)
+
+
 def _kill_all(cluster):
     for name in _GATEWAYS:
         cluster.kill(name)
--- a/tests/support/cut_connections.py
+++ b/tests/support/cut_connections.py
@@ -33,6 +33,10 @@
             for stream in self._cut:
                 reset(stream)
 
+    def end(self):
+        """Let new connections through; those that were cut still hang."""
+        self.pid = 0
+
     def refuses(self, stream):
         """Return whether to reset a new connection."""
         self._open.add(stream)
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -291,6 +291,10 @@
         """Cut a gateway off from all targets, see ``Cut``."""
         self.call(self.cut.begin, self.processes[name].pid, mode)
 
+    def end_cut(self):
+        """Let the gateway that was cut off reach the targets again."""
+        self.call(self.cut.end)
+
     def kill(self, name):
         """Kill a gateway."""
         self.signal(name, signal.SIGKILL)
--- a/tests/support/gateway_streams.py
+++ b/tests/support/gateway_streams.py
@@ -10,13 +10,14 @@
 _PATH = '/chat/x'
 
 
-def begin_stream(cluster, stack, gateway, model):
+def begin_stream(cluster, stack, gateway, model, attempt=''):
     """Ask a gateway for a stream.
 
     :param stack: closes the connection.
+    :param attempt: id of the attempt; chosen if empty.
     :returns: id of the attempt, and the connection.
     """
-    attempt = f'stream-{next(_ids)}'
+    attempt = attempt or f'stream-{next(_ids)}'
     port = cluster.ports[gateway]['front']
     connection = socket.create_connection(('127.0.0.1', port), 5)
     stack.enter_context(connection)
