--- a/cowsliprack/coordination/stream_origins.py
+++ b/cowsliprack/coordination/stream_origins.py
@@ -152,7 +152,9 @@
         return entry.origin
 
     def find_settled(self, key: str, now: float) -> StreamOrigin | None:
-        """Return an origin that no announcement of others can replace.
+        """Return an origin that does not rest on announcements of others.
+
+        This instance began the stream, or has read its origin from the store.
 
         :param key: see ``origin_key``.
         :param now: seconds.
