Say in the log what was before a term and why one ends

Change: term_begins names the holder and fencing number that the lease object had before, and the seconds since the last term of the same process (none for the first one). term_ends names the reason (hand_over, stop, lapsed, superseded) and how many orders were unanswered when it ended. The engine stand-in records time, holder, fencing number, kind and status of each order. GatewayCluster takes the length of the lease and the models.

--- a/cowsliprack/coordination/lease.py
+++ b/cowsliprack/coordination/lease.py
@@ -80,6 +80,8 @@
         # Time until which an earlier holder may act as degraded leader.
         self.predecessor_until = NEVER
         self.predecessor: LeaseBody | None = None
+        # Object that the last attempt to acquire the lease replaces.
+        self.replaced = LeaseBody()
         self._candidate = Candidate(
             instance_id, address, duration, new_attempt_id()
         )
@@ -375,6 +377,7 @@
 
     def _acquire(self, now: float) -> WriteLease:
         record = self.observation.record or LeaseBody()
+        self.replaced = record
         predecessor_seconds = record.predecessor_seconds
         self._note_predecessor(record, now)
         if record.holder and record.session != self._candidate.session:
--- a/cowsliprack/transport/order_executor.py
+++ b/cowsliprack/transport/order_executor.py
@@ -1,7 +1,7 @@
 """Sends load and unload orders to engines and tracks their results."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -64,6 +64,7 @@
         each order.
     :param changed: called when an engine's state has changed.
     :param clock: seconds; must keep running during suspension.
+    :ivar unanswered: number of orders that are sent and not answered yet.
     """
 
     state: RegionState
@@ -71,6 +72,7 @@
     holds_lease: Callable[[], bool]
     changed: Callable[[], None]
     clock: Callable[[], float]
+    unanswered: int = field(default=0, init=False)
 
     async def survey(self, engine: EngineState) -> None:
         """Ask an engine what it holds, until it answers and is idle.
@@ -230,9 +232,13 @@
             self.state.fencing,
             engine.order_count,
         )
-        return await self.engines.send_order(
-            engine.record, order, preconditions
-        )
+        self.unanswered += 1
+        try:
+            return await self.engines.send_order(
+                engine.record, order, preconditions
+            )
+        finally:
+            self.unanswered -= 1
 
     async def _check_result(
         self,
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -50,7 +50,7 @@
 from cowsliprack.transport.reach_watch import ReachWatch
 from cowsliprack.transport.region_context import RegionContext
 from cowsliprack.transport.region_notices import RegionNotices
-from cowsliprack.transport.region_term import RegionTerm
+from cowsliprack.transport.region_term import EndReason, RegionTerm
 from cowsliprack.transport.request_passing import (
     PassMessage,
     RequestPassing,
@@ -209,7 +209,7 @@
         """End the term and release the lease before a planned shutdown."""
         self.leaving = True
         if self.term is not None:
-            self.term.end()
+            self.term.end(EndReason.stop)
         action = self.lease.release(self.context.clock())
         if action is not None:
             await self._carry_out(action)
@@ -218,7 +218,7 @@
         while True:
             now = self.context.clock()
             if self.term is not None and self.term.should_hand_over():
-                self.term.end()
+                self.term.end(EndReason.hand_over)
                 action = self.lease.release(now)
             else:
                 if not self.leaving:
@@ -272,6 +272,8 @@
         self._report_due.set()
 
     async def _lead(self) -> None:
+        clock = self.context.clock
+        ended_at: float | None = None
         while True:
             if self.is_leading() and not self.leaving:
                 term = RegionTerm(
@@ -284,7 +286,10 @@
                     self.origins.peers,
                 )
                 self.term = term
-                await term.run()
+                await term.run(
+                    None if ended_at is None else round(clock() - ended_at, 3)
+                )
+                ended_at = clock()
                 self.term = None
             await anyio.sleep(_LEASE_CHECK_INTERVAL_SECONDS)
 
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -3,6 +3,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
+from enum import StrEnum, unique
 
 import anyio
 import msgspec
@@ -14,7 +15,7 @@
     SHARE_LIFETIME_SECONDS,
     CreditShares,
 )
-from cowsliprack.coordination.lease import Lease
+from cowsliprack.coordination.lease import Lease, Role
 from cowsliprack.coordination.model_scheduler import ModelScheduler
 from cowsliprack.coordination.notice_exchange import LeaderNotices
 from cowsliprack.coordination.region_state import Member, RegionState
@@ -62,6 +63,20 @@
 _log = structlog.get_logger('cowsliprack.region')
 
 
+@unique
+class EndReason(StrEnum):
+    """Why a term has ended.
+
+    With ``lapsed``, the lease was not renewed in time; with ``superseded``,
+    another instance has acquired it.
+    """
+
+    hand_over = 'hand_over'
+    stop = 'stop'
+    lapsed = 'lapsed'
+    superseded = 'superseded'
+
+
 class RegionTerm:
     """Plans model placement and serves the members for one term.
 
@@ -93,6 +108,8 @@
         self._reach_watch = reach_watch
         self._peers = tuple(peers)
         self._ended = False
+        self._end_reason: EndReason | None = None
+        self._unanswered_orders = 0
         self._plan_due = anyio.Event()
         self._leader_credit = LeaderTokenCredit(context.credit.window)
         now = context.clock()
@@ -137,8 +154,14 @@
         is_same_term = self._lease.fencing == self.state.fencing
         return not self._ended and is_same_term and self._lease.is_leader(now)
 
-    def end(self) -> None:
-        """Send no more orders; the lease is about to be released."""
+    def end(self, reason: EndReason) -> None:
+        """Send no more orders.
+
+        :param reason: why the term ends; the first one given counts.
+        """
+        if not self._ended:
+            self._end_reason = reason
+            self._unanswered_orders = self._executor.unanswered
         self._ended = True
 
     def should_hand_over(self) -> bool:
@@ -156,9 +179,19 @@
             )
         return bool(successors)
 
-    async def run(self) -> None:
-        """Lead until the lease is lost or released."""
-        _log.info('term_begins', fencing=self.state.fencing)
+    async def run(self, since_last_term: float | None) -> None:
+        """Lead until the lease is lost or released.
+
+        :param since_last_term: seconds since the last term of this instance
+            ended; ``None`` for the first one of the process.
+        """
+        _log.info(
+            'term_begins',
+            fencing=self.state.fencing,
+            previous_holder=self._lease.replaced.holder,
+            previous_fencing=self._lease.replaced.fencing,
+            since_last_term=since_last_term,
+        )
         async with self._tasks:
             self._announce()
             self._relay_known_notices()
@@ -169,10 +202,15 @@
                 self._plan_due = anyio.Event()
                 self._plan()
                 await anyio.sleep(self._batch_seconds())
-            self._ended = True
+            self.end(self._loss_reason())
             self._send_views(to_all=True)
             self._tasks.cancel_scope.cancel()
-        _log.info('term_ends', fencing=self.state.fencing)
+        _log.info(
+            'term_ends',
+            fencing=self.state.fencing,
+            reason=self._end_reason,
+            unanswered_orders=self._unanswered_orders,
+        )
 
     def apply_configuration(self) -> None:
         """Apply a new configuration."""
@@ -219,6 +257,12 @@
                 self.relay_notice(notice)
         self._request_plan()
 
+    def _loss_reason(self) -> EndReason:
+        is_held = self._lease.fencing == self.state.fencing and (
+            self._lease.role(self._context.clock()) is not Role.follower
+        )
+        return EndReason.lapsed if is_held else EndReason.superseded
+
     def _announce(self) -> None:
         """Tell the instances of the last leader whom to report to."""
         context = self._context
--- /dev/null
+++ b/tests/platform/terms.feature
@@ -0,0 +1,9 @@
+Feature: Terms of leaders that follow one another
+  Guards against holders that take turns: an engine gets orders of one instance, of
+  another and of the first again, all within the length of one lease.
+
+  Scenario: The log tells which term was before, and why and with which open orders one has ended
+    Given 2 gateways with a lease of 3000 ms, and requests for more models than fit into the engines
+    When the leader is cut off until the other one leads, and that one is told to stop
+    Then the first leads again, and each term names the lease that it replaced
+    And the first term has ended by hand_over and the second one by stop
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -52,7 +52,12 @@
 
 
 def configuration(
-    version=1, keys=(KEY,), rate=100000, prefix='/chat/', load_seconds=0.2
+    version=1,
+    keys=(KEY,),
+    rate=100000,
+    prefix='/chat/',
+    load_seconds=0.2,
+    models=MODELS,
 ):
     """Return a configuration document as an operator writes it."""
     routes = [
@@ -72,7 +77,7 @@
             'warm_s': 0.1,
             'disk_s': 0.1,
         }
-        for name in MODELS
+        for name in models
     ]
     engine = {
         'slots': 8,
@@ -121,9 +126,15 @@
 
 
 class GatewayCluster:
-    """Gateway processes, with the store and the targets in a thread."""
+    """Gateway processes, with the store and the targets in a thread.
 
-    def __init__(self):
+    :param lease_ms: length of the lease of the region, milliseconds.
+    :param models: names of the configured models.
+    """
+
+    def __init__(self, lease_ms=1500, models=MODELS):
+        self.lease_ms = lease_ms
+        self.models = models
         self.platform = ObjectStoreServer()
         self.engines = {}
         self.processes = {}
@@ -176,10 +187,12 @@
             self.engines['e1'].models = {'m0': set(), 'm1': set()}
             self.engines['e2'].models = {'m0': set()}
             for name in ('e1', 'e2'):
-                self.engines[name].on_disk = set(MODELS)
+                self.engines[name].on_disk = set(self.models)
             for engine in self.engines.values():
                 engine.register()
-            self.platform.put('config', 'main', configuration())
+            self.platform.put(
+                'config', 'main', configuration(models=self.models)
+            )
             self._started.set()
             await self._stopped.wait()
             await anyio.sleep(0.2)
@@ -213,7 +226,7 @@
 
     def configure(self, **changes):
         """Write a configuration to the store."""
-        document = configuration(**changes)
+        document = configuration(**{'models': self.models, **changes})
         self.call(self.platform.put, 'config', 'main', document)
 
     def start(self, name):
@@ -238,7 +251,8 @@
             f'internal_ports={ports["peer"]},{ports["metrics"]}\n'
             f'platform.addr=127.0.0.1:{self.store_port}\n'
             f'bootstrap={"true" if is_first else "false"}\n'
-            'bounds.lease_ms=1500\nbounds.grace_s=6\nbounds.revoke_ms=3000\n'
+            f'bounds.lease_ms={self.lease_ms}\n'
+            'bounds.grace_s=6\nbounds.revoke_ms=3000\n'
             'bounds.quota_slack=2000\nbounds.budget_slack=50\n'
             'a line that is no setting\nunknown.field=7\n',
         )
--- a/tools/standins/route_engine.py
+++ b/tools/standins/route_engine.py
@@ -66,6 +66,24 @@
     stated_limit: float | None = None
 
 
+@dataclass(slots=True)
+class ReceivedOrder:
+    """One order as it arrived.
+
+    :param arrived_at: seconds of the monotonic clock.
+    :param holder: instance that sent it.
+    :param fencing: its fencing number.
+    :param kind: ``load`` or ``unload``.
+    :param status: of the answer; 0 before the order is executed.
+    """
+
+    arrived_at: float
+    holder: str
+    fencing: int
+    kind: str
+    status: int = 0
+
+
 @dataclass(slots=True)
 class RouteEngine:
     """One engine, or a plain service if ``max_models`` is 0.
@@ -81,6 +99,7 @@
     :param busy: a model is being loaded or unloaded.
     :param accepted_orders: number of orders accepted since the start.
     :param executed_ids: IDs of the requests that were run, with repetitions.
+    :param received_orders: every order in the order of arrival.
     :param max_models_held: highest number of models loaded or being loaded.
     :param running_by_model: number of running requests.
     :param arrived_at: time at which each request arrived, seconds of the
@@ -111,6 +130,7 @@
     executed_ids: list[str] = field(default_factory=list)
     received_headers: list[dict[str, str]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
+    received_orders: list[ReceivedOrder] = field(default_factory=list)
     max_models_held: int = 0
     running_by_model: Counter[str] = field(default_factory=Counter)
     arrived_at: list[float] = field(default_factory=list)
@@ -197,12 +217,17 @@
     async def _handle_order(self, request: Request) -> None:
         order = request.json()
         self.orders.append(order)
+        received = ReceivedOrder(
+            time.monotonic(), order['holder'], order['fence'], order['op']
+        )
+        self.received_orders.append(received)
         if self.faults.order_delays:
             await anyio.sleep(self.faults.order_delays.pop(0))
-            await self._execute_order(order)
+            received.status = await self._execute_order(order)
             await request.wait_for_disconnect()
             return
         status = await self._execute_order(order)
+        received.status = status
         if self.faults.lost_order_responses:
             self.faults.lost_order_responses -= 1
             await request.wait_for_disconnect()
