Show the turns of leaders whose terms end in other ways

GatewayCluster can cut single processes off from the store. The engine stand-in can be suspended; it then handles what came meanwhile, also requests of callers that have gone. A reset of a connection that the other side has closed already (OSError 107, seen once) does not end the cut any more.

--- a/tests/steps/terms_steps.py
+++ b/tests/steps/terms_steps.py
@@ -8,9 +8,10 @@
 
 from tests.support.gateway_cluster import GatewayCluster
 from tests.support.leader_turns import (
+    TURNS,
     ModelLoad,
     all_turns,
-    cut_in_turn,
+    end_in_turn,
     newest_order,
     terms,
     wait_for_other,
@@ -26,7 +27,7 @@
     'models than fit into the engines'
 )
 def given_loaded(context, count, lease_ms):
-    cluster = GatewayCluster(lease_ms, _MODELS)
+    cluster = GatewayCluster(lease_ms, _MODELS, cuts_store=True)
     context.cluster = cluster
     context.add_cleanup(cluster.close)
     names = [f'g{number}' for number in range(1, count + 1)]
@@ -40,12 +41,13 @@
 
 
 @when(
-    'each leader is cut off from the targets after its first order, for '
-    '{seconds:d} seconds in all, seed {seed:d}'
+    'each leader is {turn} after its first order, for {seconds:d} seconds in '
+    'all, seed {seed:d}'
 )
-def when_cut_in_turn(context, seconds, seed):
-    rng = random.Random(seed)
-    context.changes = cut_in_turn(context.cluster, rng, seconds)
+def when_ended_in_turn(context, turn, seconds, seed):
+    context.changes = end_in_turn(
+        context.cluster, TURNS[turn], random.Random(seed), seconds
+    )
 
 
 @then('no engine got orders of X, of Y and of X within one lease')
--- a/tests/support/cut_connections.py
+++ b/tests/support/cut_connections.py
@@ -1,5 +1,6 @@
 """Cuts the connections of single processes to the ports of stand-ins."""
 
+import contextlib
 import os
 import socket
 import struct
@@ -63,7 +64,9 @@
     """Close a stream with a reset."""
     raw = stream.extra(SocketAttribute.raw_socket)  # noqa: S610
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-    raw.shutdown(socket.SHUT_RD)
+    # The other side may have closed the connection.
+    with contextlib.suppress(OSError):
+        raw.shutdown(socket.SHUT_RD)
 
 
 def owns(pid, port):
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -130,11 +130,14 @@
 
     :param lease_ms: length of the lease of the region, milliseconds.
     :param models: names of the configured models.
+    :param cuts_store: whether ``store_cut`` has an effect.
     """
 
-    def __init__(self, lease_ms=1500, models=MODELS):
+    def __init__(self, lease_ms=1500, models=MODELS, *, cuts_store=False):
         self.lease_ms = lease_ms
         self.models = models
+        self.cuts_store = cuts_store
+        self.store_cut = Cut()
         self.platform = ObjectStoreServer()
         self.engines = {}
         self.processes = {}
@@ -161,6 +164,9 @@
             tasks.start_soon(
                 serve_on, listener, self.platform.handle, self._stopped.wait
             )
+            if self.cuts_store:
+                server_port, self.store_port = self.store_port, free_port()
+                tasks.start_soon(self._serve_store, server_port)
             for name, service, places in (
                 ('e1', 'llm', 2),
                 ('e2', 'llm', 2),
@@ -198,6 +204,15 @@
             await anyio.sleep(0.2)
             tasks.cancel_scope.cancel()
 
+    async def _serve_store(self, server_port):
+        """Serve the port of the store before which connections are cut."""
+        listeners = await anyio.create_tcp_listener(
+            local_host='127.0.0.1', local_port=self.store_port
+        )
+        await serve_crashing_port(
+            listeners.listeners[0], server_port, anyio.Event(), self.store_cut
+        )
+
     async def _serve_port(self, engine, port, server_port):
         """Serve the port of a target; a crashed one starts again."""
         while True:
--- a/tests/support/leader_turns.py
+++ b/tests/support/leader_turns.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import signal
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -125,26 +126,137 @@
     )
 
 
-def cut_in_turn(cluster, rng, seconds, mode='reset'):
-    """Cut each leader off after its first order, until turns are seen.
+def cut(cluster, rng, mode='reset'):
+    """Cut the leader off from the targets until the next term begins.
+
+    The next leader can then hand over to it as soon as it is cut off itself.
+    """
+    holder = newest_order(cluster).holder
+    begins = _begins(cluster)
+    cluster.cut_off(holder, mode)
+    _wait_for_term(cluster, begins)
+    cluster.end_cut()
+    return wait_for_other(cluster, holder)
+
+
+def cut_silently(cluster, rng):
+    """The same, with connections that hang."""
+    return cut(cluster, rng, 'hang')
+
+
+def stop(cluster, rng):
+    """Tell the leader to stop; start it again once another one leads.
+
+    A process that still answers callers then is killed.
+    """
+    holder = newest_order(cluster).holder
+    begins = _begins(cluster)
+    cluster.signal(holder, signal.SIGTERM)
+    _wait_for_term(cluster, begins)
+    cluster.kill(holder)
+    cluster.start(holder)
+    return wait_for_other(cluster, holder)
+
+
+def cut_and_restart(cluster, rng):
+    """Cut the leader off; kill it in the next term and start it again."""
+    holder = newest_order(cluster).holder
+    begins = _begins(cluster)
+    cluster.cut_off(holder, 'reset')
+    _wait_for_term(cluster, begins)
+    cluster.kill(holder)
+    cluster.end_cut()
+    cluster.start(holder)
+    return wait_for_other(cluster, holder)
+
+
+def kill(cluster, rng):
+    """Kill the leader and start it again at once, then cut the leader off."""
+    holder = newest_order(cluster).holder
+    begins = _begins(cluster)
+    cluster.kill(holder)
+    cluster.start(holder)
+    _wait_for_term(cluster, begins)
+    _wait_for_order(cluster)
+    return cut(cluster, rng)
+
+
+def lapse(cluster, rng):
+    """Cut the leader off from the store, then the next one from the targets."""
+    holder = newest_order(cluster).holder
+    begins = _begins(cluster)
+    cluster.call(
+        cluster.store_cut.begin, cluster.processes[holder].pid, 'reset'
+    )
+    _wait_for_term(cluster, begins)
+    cluster.call(cluster.store_cut.end)
+    _wait_for_order(cluster)
+    return cut(cluster, rng)
 
-    The cut ends as soon as the next leader's term begins, so that each one
-    can lead again when the next one is cut off.
 
-    :param rng: draws the time from an order to the cut.
-    :param seconds: time after which no further cut begins.
+def suspend(cluster, rng):
+    """Suspend the leader for over a lease, then cut off the next one."""
+    holder = newest_order(cluster).holder
+    begins = _begins(cluster)
+    cluster.signal(holder, signal.SIGSTOP)
+    time.sleep(cluster.lease_ms / 1000 + 0.5)
+    _wait_for_term(cluster, begins)
+    cluster.signal(holder, signal.SIGCONT)
+    _wait_for_order(cluster)
+    return cut(cluster, rng)
+
+
+def suspend_engines(cluster, rng):
+    """Suspend all engines for over a second, then let them run."""
+    holder = newest_order(cluster).holder
+    for name in ENGINES:
+        cluster.call(cluster.engines[name].suspend)
+    time.sleep(rng.uniform(1.1, 1.3))
+    for name in ENGINES:
+        cluster.call(cluster.engines[name].resume)
+    return wait_for_other(cluster, holder, rng.uniform(0.6, 0.9))
+
+
+TURNS = {
+    'cut off': cut,
+    'cut off silently': cut_silently,
+    'stopped': stop,
+    'cut off and restarted': cut_and_restart,
+    'killed': kill,
+    'cut off from the store': lapse,
+    'suspended': suspend,
+    'without engines': suspend_engines,
+}
+
+
+def _wait_for_term(cluster, begins):
+    end = time.monotonic() + _TURN_SECONDS
+    while _begins(cluster) == begins and time.monotonic() < end:
+        time.sleep(_POLL_SECONDS)
+
+
+def _wait_for_order(cluster):
+    since = time.monotonic()
+    end = since + _TURN_SECONDS
+    while newest_order(cluster).arrived_at < since and time.monotonic() < end:
+        time.sleep(_POLL_SECONDS)
+
+
+def end_in_turn(cluster, turn, rng, seconds, *, until_seen=True):
+    """End the terms of leaders one after the other, until turns are seen.
+
+    :param turn: ends the term of the leader that gave the newest order;
+        returns whether another one gave orders.
+    :param rng: draws the time from an order to the next end.
+    :param seconds: time after which no further term is ended.
+    :param until_seen: whether to stop once an engine got such orders.
     :returns: number of leaders that were followed by another one.
     """
     changes = 0
     end = time.monotonic() + seconds
-    while time.monotonic() < end and not any(all_turns(cluster).values()):
+    while time.monotonic() < end:
+        if until_seen and any(all_turns(cluster).values()):
+            break
         time.sleep(rng.uniform(0, 0.05))
-        holder = newest_order(cluster).holder
-        begins = _begins(cluster)
-        cluster.cut_off(holder, mode)
-        turn_end = time.monotonic() + _TURN_SECONDS
-        while _begins(cluster) == begins and time.monotonic() < turn_end:
-            time.sleep(_POLL_SECONDS)
-        cluster.end_cut()
-        changes += wait_for_other(cluster, holder)
+        changes += turn(cluster, rng)
     return changes
--- a/tools/standins/route_engine.py
+++ b/tools/standins/route_engine.py
@@ -104,6 +104,7 @@
     :param running_by_model: number of running requests.
     :param arrived_at: time at which each request arrived, seconds of the
         monotonic clock.
+    :param resumed: set when the engine resumes; ``None`` while it runs.
     :param crashed: set while the engine has no process.
     :param crashed_at: time of each crash, seconds of the monotonic clock.
     """
@@ -134,6 +135,7 @@
     max_models_held: int = 0
     running_by_model: Counter[str] = field(default_factory=Counter)
     arrived_at: list[float] = field(default_factory=list)
+    resumed: anyio.Event | None = None
     crashed: anyio.Event = field(default_factory=anyio.Event)
     crashed_at: list[float] = field(default_factory=list)
 
@@ -170,11 +172,23 @@
         self.crashed_at.append(time.monotonic())
         self.crashed.set()
 
+    def suspend(self) -> None:
+        """Leave all further requests until the engine resumes."""
+        self.resumed = anyio.Event()
+
+    def resume(self) -> None:
+        """Handle the requests that came meanwhile, also of callers gone."""
+        if self.resumed is not None:
+            self.resumed.set()
+            self.resumed = None
+
     async def handle(self, request: Request) -> None:
         """Handle one HTTP request.
 
         :param request: with its body fully read.
         """
+        if self.resumed is not None:
+            await self.resumed.wait()
         expected = request.header('x-expect-instance')
         if expected is not None and expected != self.target_id:
             await request.start(_MISDIRECTED)
