--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -77,6 +77,14 @@
     superseded = 'superseded'
 
 
+def _loss_reason(lease: Lease, fencing: int, now: float) -> EndReason:
+    """Return why a lease that was not released is not held any more."""
+    is_held = lease.fencing == fencing and (
+        lease.role(now) is not Role.follower
+    )
+    return EndReason.lapsed if is_held else EndReason.superseded
+
+
 class RegionTerm:
     """Plans model placement and serves the members for one term.
 
@@ -202,7 +210,11 @@
                 self._plan_due = anyio.Event()
                 self._plan()
                 await anyio.sleep(self._batch_seconds())
-            self.end(self._loss_reason())
+            self.end(
+                _loss_reason(
+                    self._lease, self.state.fencing, self._context.clock()
+                )
+            )
             self._send_views(to_all=True)
             self._tasks.cancel_scope.cancel()
         _log.info(
@@ -257,12 +269,6 @@
                 self.relay_notice(notice)
         self._request_plan()
 
-    def _loss_reason(self) -> EndReason:
-        is_held = self._lease.fencing == self.state.fencing and (
-            self._lease.role(self._context.clock()) is not Role.follower
-        )
-        return EndReason.lapsed if is_held else EndReason.superseded
-
     def _announce(self) -> None:
         """Tell the instances of the last leader whom to report to."""
         context = self._context
