Let an instance rest between two terms with another holder in between

Cause: the promise spans a lease duration, but the state that kept it was that of one term. A lease that is released is free at once, also for the instance that held it before the last one, and `resume` lets that one compete whatever time has passed. The same holds for a holder whose lease lapsed and whose successor released, and for a process under the id of an earlier one, which knows nothing of that one's orders.

Fix: LeaseTerms keeps until when the instance could order (release, deadline, end of a degraded term, start of a process that is not the system's first). It acquires the lease again one duration and 0.4 s (orders on their way) later, or at once if the object is still its own write, or names its id at the start of a process: each write replaces the version read before it, so then nobody has led in between. Others may lead at once meanwhile.

--- a/cowsliprack/coordination/lease.py
+++ b/cowsliprack/coordination/lease.py
@@ -20,6 +20,7 @@
     VersionAges,
     WriteLease,
 )
+from cowsliprack.coordination.lease_terms import LeaseTerms
 from cowsliprack.protocol.store import StoredObject, new_attempt_id
 from cowsliprack.state.store_version import era_of
 
@@ -57,6 +58,7 @@
 
     :param duration: seconds for which a renewal is valid.
     :param rng: randomness of the backoff.
+    :param started_at: when the process started, on the own clock, seconds.
     :param first_start: whether no process of the system ran before.
     :param version_ages: returns what each write says of software versions, see
         ``LeaseBody``; empty if it is not known.
@@ -70,6 +72,7 @@
         duration: float,
         rng: random.Random,
         *,
+        started_at: float,
         first_start: bool = True,
         version_ages: Callable[[], VersionAges] = dict,
     ) -> None:
@@ -83,6 +86,10 @@
         self._candidate = Candidate(
             instance_id, address, duration, new_attempt_id()
         )
+        # At a first start no earlier process of this instance has ordered.
+        self.terms = LeaseTerms(
+            self._candidate, NEVER if first_start else started_at
+        )
         self._rng = rng
         self._first_start = first_start
         self._version_ages = version_ages
@@ -161,7 +168,7 @@
         :param fencing: its fencing number.
         :param now: own clock, seconds.
         """
-        self.observe_fencing(fencing)
+        self.observe_fencing(fencing, now)
         self.observation.observe_heartbeat(fencing, now)
 
     def observe_term(
@@ -183,14 +190,15 @@
         self.observe_heartbeat(fencing, now)
         self.observation.observe_term(version, remaining, now)
 
-    def observe_fencing(self, fencing: int) -> None:
+    def observe_fencing(self, fencing: int, now: float) -> None:
         """Record a fencing number; one above the own ends the lease.
 
         :param fencing: seen in a message, a report or an answer.
+        :param now: own clock, seconds.
         """
         self.observation.observe_fencing(fencing)
         if self._deadline is not None and fencing > self.fencing:
-            self._step_down()
+            self._step_down(now)
 
     def tick(
         self,
@@ -205,7 +213,7 @@
         """
         held_until = self._deadline
         if held_until is not None and now >= held_until + DEGRADED_SECONDS:
-            self._step_down()
+            self._step_down(now)
         if self._pending_action is not None or now < self._next_action_at:
             return None
         if self._released:
@@ -220,6 +228,7 @@
                 self._candidate.instance_id,
                 now,
             )
+            and self.terms.may_begin(self.observation, self.fencing, now)
         ):
             return self._acquire(now)
         if self._must_read or is_read_due:
@@ -235,10 +244,12 @@
 
         :param now: own clock, seconds.
         """
-        self._releasing = self._deadline is not None
         self._released = True
-        self._step_down()
-        if not self._releasing or self._pending_action is not None:
+        if self._deadline is None:
+            return None
+        self._releasing = True
+        self._step_down(now)
+        if self._pending_action is not None:
             return None
         return self._write(self.fencing, now, releases=True)
 
@@ -256,7 +267,7 @@
         :param now: own clock after the answer arrived.
         :param era: of the store.
         """
-        self._on_answer()
+        self._on_answer(now)
         self._must_read = False
         self._next_action_at = now
         body = self.observation.observe_object(stored, now, era)
@@ -271,7 +282,7 @@
             return
         is_own = body.session == self._candidate.session
         if not (is_own and body.fencing == self.fencing):
-            self._deadline = None
+            self._step_down(now)
 
     def on_written(self, stored: StoredObject, now: float) -> None:
         """Process the result of a successful write.
@@ -280,7 +291,7 @@
         :param now: own clock after the answer arrived.
         """
         write = self._pending_action
-        self._on_answer()
+        self._on_answer(now)
         era = era_of(stored.version)
         # The store came back between the last read and this write.
         is_returned = self.observation.era not in {None, era}
@@ -291,7 +302,8 @@
         if isinstance(write, WriteLease) and write.releases:
             self._releasing = False
         elif is_returned and not is_held:
-            self._step_down()
+            self._step_down(now)
+            self._must_read = True
         elif isinstance(write, WriteLease):
             self._extend_lease(body, write.sent_at)
             renewal = self._candidate.duration / RENEWALS_PER_DURATION
@@ -307,7 +319,7 @@
 
         :param now: own clock, seconds.
         """
-        self._on_answer()
+        self._on_answer(now)
         self._must_read = True
         self._next_action_at = now
 
@@ -340,7 +352,7 @@
             body.fencing, self.observation.highest_fencing
         )
         if not is_newest or self.role(now) is not Role.leader:
-            self._deadline = None
+            self._step_down(now)
 
     def _next_release_action(self, now: float) -> LeaseAction | None:
         """Return the next action of a release that is not completed."""
@@ -355,7 +367,9 @@
             return None
         return self._write(self.fencing, now, releases=True)
 
-    def _on_answer(self) -> None:
+    def _on_answer(self, now: float) -> None:
+        if self.role(now) is Role.degraded:
+            self.terms.end(now)
         self._pending_action = None
         self._failures = 0
         self._store_unavailable = False
@@ -364,12 +378,19 @@
         superseded = body.fencing < self.observation.highest_fencing
         if superseded or self._released:
             return
+        if self._deadline is None:
+            self.terms.begin(body.fencing, sent_at)
         self.fencing = body.fencing
         self._deadline = (
             sent_at + self._candidate.duration - _CLOCK_MARGIN_SECONDS
         )
 
-    def _step_down(self) -> None:
+    def _step_down(self, now: float) -> None:
+        if self._deadline is None:
+            return
+        is_degraded = self.role(now) is Role.degraded
+        ordered_until = now if is_degraded else min(now, self._deadline)
+        self.terms.end(ordered_until)
         self._deadline = None
         self._must_read = True
 
--- /dev/null
+++ b/cowsliprack/coordination/lease_terms.py
@@ -0,0 +1,119 @@
+"""What an instance must remember between two terms as holder of a lease.
+
+Holders must not take turns within one lease: an engine could get orders of one
+instance, of another, and of the first one again. The lease object shows only
+its last write, so each instance keeps to this on its own.
+"""
+
+import math
+
+import structlog
+
+from cowsliprack.coordination.lease_record import (
+    NEVER,
+    Candidate,
+    LeaseBody,
+    LeaseObservation,
+)
+
+# Added to the duration of a lease: orders on their way when a term ends arrive
+# after it; the leader gives up the longest ones after 0.3 s.
+_ARRIVAL_SECONDS = 0.4
+
+_log = structlog.get_logger('cowsliprack.lease')
+
+
+def _rounded(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
+class LeaseTerms:
+    """The terms of one instance: when it ordered last, and when it may again.
+
+    :param candidate: this instance.
+    :param ordered_until: until when an earlier process of the instance may have
+        ordered, seconds.
+    """
+
+    def __init__(
+        self,
+        candidate: Candidate,
+        ordered_until: float,
+    ) -> None:
+        """Start without a term of this process."""
+        self._candidate = candidate
+        # Last moment at which this instance could order.
+        self._ordered_until = ordered_until
+        # The lease object before the own term.
+        self._before = LeaseBody()
+        self._logged_until = NEVER
+
+    def begin(self, fencing: int, sent_at: float) -> None:
+        """Record a new term.
+
+        :param fencing: its number.
+        :param sent_at: own clock before the lease was requested, seconds.
+        """
+        _log.info(
+            'lease_acquired',
+            fencing=fencing,
+            last_holder=self._before.holder,
+            last_fencing=self._before.fencing,
+            since_own_orders=_rounded(sent_at - self._ordered_until),
+        )
+
+    def end(self, ordered_until: float) -> None:
+        """Record the end of a term.
+
+        :param ordered_until: own clock at the last moment at which this
+            instance could order, seconds.
+        """
+        self._ordered_until = max(self._ordered_until, ordered_until)
+
+    def may_begin(
+        self, observation: LeaseObservation, fencing: int, now: float
+    ) -> bool:
+        """Return whether a term may begin so soon after earlier ones.
+
+        :param observation: the lease object, just found to be free.
+        :param fencing: number of the last term of this process; 0 if none.
+        :param now: own clock, seconds.
+        """
+        self._before = observation.record or self._before
+        rests_until = self._ordered_until + self._rest_seconds()
+        if now >= rests_until or self._is_last_holder(observation, fencing):
+            return True
+        if self._logged_until != rests_until:
+            self._logged_until = rests_until
+            _log.info(
+                'lease_rests',
+                reason='another instance may have led since the last term of '
+                'this one',
+                seconds=round(rests_until - now, 3),
+                fencing=fencing,
+                highest_fencing=observation.highest_fencing,
+            )
+        return False
+
+    def _is_last_holder(
+        self, observation: LeaseObservation, fencing: int
+    ) -> bool:
+        """Return whether nobody else has led since the last term.
+
+        Each write replaces the version read before it, so an object that this
+        instance wrote shows that there was no other holder.
+        """
+        record = observation.record
+        if record is None or observation.version is None:
+            return False
+        if observation.highest_fencing > record.fencing:
+            return False
+        if record.session == self._candidate.session:
+            return True
+        if fencing:
+            # A release of this process names no holder.
+            return record.fencing == fencing
+        return record.holder == self._candidate.instance_id
+
+    def _rest_seconds(self) -> float:
+        return self._candidate.duration + _ARRIVAL_SECONDS
--- a/cowsliprack/transport/leader.py
+++ b/cowsliprack/transport/leader.py
@@ -39,6 +39,7 @@
             dependencies.address,
             dependencies.lease_seconds,
             dependencies.rng,
+            started_at=dependencies.clock(),
         )
         self._term: Term | None = None
 
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -166,6 +166,7 @@
             context.address,
             context.lease_seconds,
             random.Random(),
+            started_at=self._started_at,
             first_start=context.first_start,
             version_ages=self.origins.version_ages,
         )
@@ -317,7 +318,9 @@
             case LeaderView():
                 self._apply_view(message)
             case LeaderAnnounced():
-                self.lease.observe_fencing(message.fencing)
+                self.lease.observe_fencing(
+                    message.fencing, self.context.clock()
+                )
                 self._follow(
                     message.instance_id, message.address, message.fencing
                 )
--- a/cowsliprack/transport/term.py
+++ b/cowsliprack/transport/term.py
@@ -339,7 +339,7 @@
         self._dependencies.send_to_zone(action.zone, action.report)
 
     def _observe_fencing(self, action: ObserveFencing) -> None:
-        self._lease.observe_fencing(action.fencing)
+        self._lease.observe_fencing(action.fencing, self._dependencies.clock())
         self.end()
 
     def _start_revision(self, action: ReviseAllowances) -> None:
