Hand over only to an instance that may lead at once

Callers would see a region without a leader: a leader that reaches no engine hands over if any other instance reaches engines. If that one led within the last lease duration, it now rests first, and with two instances nobody leads for up to 3.4 s.

Cause: successors were chosen by what they reach, not by whether they may acquire the lease.

Fix: Region notes in PastLeaders who led, from views, announcements and the lease. The end of a term counts from when the next leader is known, which is never too early.

An instance whose process has just started also rests. The leader does not know that: at the start of a term all members look new.

--- a/cowsliprack/coordination/lease_terms.py
+++ b/cowsliprack/coordination/lease_terms.py
@@ -23,6 +23,14 @@
 _log = structlog.get_logger('cowsliprack.lease')
 
 
+def rest_seconds(duration: float) -> float:
+    """Return how long an instance rests after a term, in seconds.
+
+    :param duration: of the lease, seconds.
+    """
+    return duration + _ARRIVAL_SECONDS
+
+
 def _rounded(seconds: float) -> float | None:
     return round(seconds, 3) if math.isfinite(seconds) else None
 
@@ -42,6 +50,7 @@
     ) -> None:
         """Start without a term of this process."""
         self._candidate = candidate
+        self._rest = rest_seconds(candidate.duration)
         # Last moment at which this instance could order.
         self._ordered_until = ordered_until
         # The lease object before the own term.
@@ -80,7 +89,7 @@
         :param now: own clock, seconds.
         """
         self._before = observation.record or self._before
-        rests_until = self._ordered_until + self._rest_seconds()
+        rests_until = self._ordered_until + self._rest
         if now >= rests_until or self._is_last_holder(observation, fencing):
             return True
         if self._logged_until != rests_until:
@@ -114,6 +123,3 @@
             # A release of this process names no holder.
             return record.fencing == fencing
         return record.holder == self._candidate.instance_id
-
-    def _rest_seconds(self) -> float:
-        return self._candidate.duration + _ARRIVAL_SECONDS
--- a/cowsliprack/coordination/succession.py
+++ b/cowsliprack/coordination/succession.py
@@ -8,6 +8,7 @@
 
 import zlib
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 # Processor time of an instance that leads a region well, in cores.
 _MIN_LEADER_CORES = 1.0
@@ -22,6 +23,40 @@
 _MAX_DELAY_SECONDS = 4.0
 
 
+@dataclass(slots=True)
+class PastLeaders:
+    """Until when each instance may have led, by what another one knows."""
+
+    _leader_id: str = ''
+    _fencing: int = 0
+    _ended_at_by_id: dict[str, float] = field(default_factory=dict)
+
+    def note(self, leader_id: str, fencing: int, now: float) -> None:
+        """Record a leader; the one before has ended its term.
+
+        :param leader_id: its id.
+        :param fencing: its fencing number.
+        :param now: seconds.
+        """
+        if fencing <= self._fencing:
+            return
+        if self._leader_id and leader_id != self._leader_id:
+            self._ended_at_by_id[self._leader_id] = now
+        self._leader_id = leader_id
+        self._fencing = fencing
+
+    def ended_after(self, oldest: float) -> set[str]:
+        """Return the instances that may have led later than that.
+
+        :param oldest: seconds.
+        """
+        return {
+            instance_id
+            for instance_id, ended_at in self._ended_at_by_id.items()
+            if ended_at > oldest
+        }
+
+
 def leads_well(cores: float) -> bool:
     """Return whether an instance has enough processor time to lead a region.
 
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -14,6 +14,7 @@
 from cowsliprack.coordination.notice_exchange import MemberNotices
 from cowsliprack.coordination.relayed_targets import stated_version
 from cowsliprack.coordination.succession import (
+    PastLeaders,
     leads_well,
     seconds_before_turn,
     turns_begin,
@@ -89,6 +90,7 @@
     _leader_id: str = ''
     _leader_address: str = ''
     _leader_fencing: int = 0
+    _past_leaders: PastLeaders = field(default_factory=PastLeaders)
     _view_fencing: int = 0
     _view_sequence: int = 0
     _relayed: RelayedReading = field(init=False)
@@ -265,6 +267,7 @@
         if fencing < max(self._leader_fencing, self._view_fencing):
             return
         self._leader_fencing = fencing
+        self._past_leaders.note(leader_id, fencing, self.context.clock())
         if leader_id == self._leader_id:
             return
         self._leader_id = leader_id
@@ -283,6 +286,7 @@
                     self.reach_watch,
                     self._store_limits,
                     self.origins.peers,
+                    self._past_leaders,
                 )
                 self.term = term
                 await term.run()
@@ -316,6 +320,9 @@
                 if self.term is not None:
                     self.term.handle_message(message)
             case LeaderView():
+                self._past_leaders.note(
+                    message.instance_id, message.fencing, self.context.clock()
+                )
                 self._apply_view(message)
             case LeaderAnnounced():
                 self.lease.observe_fencing(
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -15,10 +15,12 @@
     CreditShares,
 )
 from cowsliprack.coordination.lease import Lease
+from cowsliprack.coordination.lease_terms import rest_seconds
 from cowsliprack.coordination.model_scheduler import ModelScheduler
 from cowsliprack.coordination.notice_exchange import LeaderNotices
 from cowsliprack.coordination.region_state import Member, RegionState
 from cowsliprack.coordination.relayed_targets import registry_changes
+from cowsliprack.coordination.succession import PastLeaders
 from cowsliprack.coordination.token_credit import LeaderTokenCredit
 from cowsliprack.logs import log_decision
 from cowsliprack.protocol.credit_messages import CreditShare
@@ -73,6 +75,7 @@
     :param reach_watch: knows the services of which no target is reached.
     :param first_store_limits: see ``RegionState``.
     :param peers: instances that the last leader knew.
+    :param past_leaders: instances that led before.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         reach_watch: ReachWatch,
         first_store_limits: Mapping[str, int],
         peers: Iterable[PeerView],
+        past_leaders: PastLeaders,
     ) -> None:
         """Create an empty state; no order is sent before ``run``."""
         self._context = context
@@ -92,6 +96,8 @@
         self._version_ages = version_ages
         self._reach_watch = reach_watch
         self._peers = tuple(peers)
+        self._past_leaders = past_leaders
+        self._has_logged_resting = False
         self._ended = False
         self._plan_due = anyio.Event()
         self._leader_credit = LeaderTokenCredit(context.credit.window)
@@ -142,11 +148,18 @@
         self._ended = True
 
     def should_hand_over(self) -> bool:
-        """Return whether another instance reaches engines and this one none."""
+        """Return whether another instance reaches engines and this one none.
+
+        The other one must be able to lead at once: one that has led shortly
+        before rests first, and nobody would lead meanwhile.
+        """
         if self._ended or not self._reach_watch.has_lost_engines():
             return False
         now = self._context.clock()
-        successors = self.state.successors(now)
+        oldest = now - rest_seconds(self._context.lease_seconds)
+        resting = self._past_leaders.ended_after(oldest)
+        others = self.state.successors(now)
+        successors = [one for one in others if one not in resting]
         if successors:
             log_decision(
                 'hand_over',
@@ -154,6 +167,14 @@
                 'this leader reaches no engine, other instances do',
                 fencing=self.state.fencing,
             )
+        elif others and not self._has_logged_resting:
+            self._has_logged_resting = True
+            log_decision(
+                'no_hand_over',
+                others[:_MAX_LOGGED_NAMES],
+                'this leader reaches no engine; those that do have just led',
+                fencing=self.state.fencing,
+            )
         return bool(successors)
 
     async def run(self) -> None:
--- a/tests/coordination/succession.feature
+++ b/tests/coordination/succession.feature
@@ -44,6 +44,20 @@
       | 0.516 | 1.5     | no       |
       | 0.516 | 1.9     | yes      |
 
+  Scenario Outline: A leader that reaches no engine hands over to one that must rest: <others>
+    Given a leader that reaches no engine, with a lease of 3 seconds
+    And before it led <others>
+    Then it hands over: <answer>
+
+    Examples:
+      | others                          | answer |
+      | i1 until 1 second ago           | no     |
+      | i1 until 3.6 seconds ago        | yes    |
+      | i2 until 1 second ago           | yes    |
+      | i1 and i2 until 1 second ago    | no     |
+      | i0 until 1 second ago           | yes    |
+      | nobody                          | yes    |
+
   Scenario Outline: Instances of message levels <levels>
     Given the instances of a region have the message levels <levels>
     Then a new leader announces itself to all: <answer>
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -15,6 +15,7 @@
     apply_survey,
     finish_order,
 )
+from cowsliprack.coordination.succession import PastLeaders
 from cowsliprack.protocol.engine import EngineSurvey
 from cowsliprack.protocol.gateway_messages import (
     ConfigurationCopy,
@@ -272,6 +273,7 @@
         None,
         {},
         (),
+        PastLeaders(),
     )
 
 
--- a/tests/steps/succession_steps.py
+++ b/tests/steps/succession_steps.py
@@ -8,14 +8,19 @@
 from cowsliprack.coordination.freshness import RelayedReading
 from cowsliprack.coordination.lease import Lease
 from cowsliprack.coordination.lease_record import WriteLease
-from cowsliprack.coordination.succession import seconds_before_turn
-from cowsliprack.protocol.gateway_messages import PeerView
+from cowsliprack.coordination.region_state import RegionState
+from cowsliprack.coordination.succession import (
+    PastLeaders,
+    seconds_before_turn,
+)
+from cowsliprack.protocol.gateway_messages import MemberReport, PeerView
 from cowsliprack.protocol.message_level import (
     knows_announcements,
     new_process_id,
 )
 from cowsliprack.protocol.store import StoredObject
 from cowsliprack.transport.region import Region
+from cowsliprack.transport.region_term import RegionTerm
 
 _LAST_FENCING = 40
 
@@ -190,3 +195,54 @@
 @then('it calls the store: {answer}')
 def then_calls(context, answer):
     assert (context.action is not None) == (answer == 'yes'), context.action
+
+
+@given('a leader that reaches no engine, with a lease of {seconds:g} seconds')
+def given_cut_off_leader(context, seconds):
+    context.lease_seconds = seconds
+    context.now = 100.0
+
+
+@given('before it led {others}')
+def given_past_leaders(context, others):
+    names, _, since = others.partition(' until ')
+    led = [] if names == 'nobody' else names.split(' and ')
+    past_leaders = PastLeaders()
+    ended_at = context.now - (float(since.split()[0]) if since else 0)
+    for fencing, name in enumerate([*led, 'i0'], start=1):
+        past_leaders.note(name, fencing, ended_at)
+    state = RegionState(len(led) + 1, 'i0', '')
+    for name in {'i0', 'i1', *led}:
+        state.apply_report(_report(name), context.now)
+    context.term = SimpleNamespace(
+        state=state,
+        _ended=False,
+        _past_leaders=past_leaders,
+        _has_logged_resting=False,
+        _reach_watch=SimpleNamespace(has_lost_engines=lambda: True),
+        _context=SimpleNamespace(
+            clock=lambda: context.now, lease_seconds=context.lease_seconds
+        ),
+    )
+
+
+def _report(instance_id):
+    return MemberReport(
+        instance_id=instance_id,
+        address='',
+        zone='z',
+        boot=new_process_id(),
+        sequence=1,
+        stamp=0,
+        view_sequence=0,
+        view_fencing=0,
+        waiting=(),
+        engines=(),
+        generation=0,
+    )
+
+
+@then('it hands over: {answer}')
+def then_hands_over(context, answer):
+    hands_over = RegionTerm.should_hand_over(context.term)
+    assert hands_over == (answer == 'yes')
