Keep a lease that ends early from instances of earlier builds

The earlier build does not rest between two terms, and the lease is free as soon as the instance of this build releases it.

Fix: message level 5 says that an instance rests. While an instance of a lower level is known (from lists of leaders, reports, and for 60 s after it was last heard of), a lease whose term ends early is released one duration and 0.4 s after it was acquired, or lapses. No orders are given meanwhile, and the last view of the term states the true remaining time instead of 0. A leader that reaches no engine hands over only once the release is possible. A planned stop does not wait: the lease lapses. No message or field is new.

Between two instances of earlier builds nothing changes.

--- a/cowsliprack/coordination/lease.py
+++ b/cowsliprack/coordination/lease.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from enum import StrEnum, unique
 
+import structlog
+
 from cowsliprack.coordination.lease_record import (
     NEVER,
     RENEWALS_PER_DURATION,
@@ -33,6 +35,8 @@
 _MAX_BACKOFF_SECONDS = 5.0
 _MAX_BACKOFF_DOUBLINGS = 8
 
+_log = structlog.get_logger('cowsliprack.lease')
+
 
 @unique
 class Role(StrEnum):
@@ -105,8 +109,9 @@
         self._sent_at_by_attempt: dict[str, float] = {}
         self._must_read = True
         self._released = False
-        # The release has not yet been written.
+        # The release has not yet been written, and is not due before then.
         self._releasing = False
+        self._kept_until = NEVER
 
     def role(self, now: float) -> Role:
         """Return the role of this instance.
@@ -241,6 +246,7 @@
 
         While a renewal is pending, ``None`` is returned and ``tick`` returns
         the write once the renewal was answered. A failed write is repeated.
+        The write is due no sooner than ``LeaseTerms.kept_until``.
 
         :param now: own clock, seconds.
         """
@@ -249,6 +255,15 @@
             return None
         self._releasing = True
         self._step_down(now)
+        self._kept_until = self.terms.kept_until()
+        if now < self._kept_until:
+            _log.info(
+                'lease_kept',
+                reason='an instance of an earlier build does not rest',
+                seconds=round(self._kept_until - now, 3),
+                fencing=self.fencing,
+            )
+            return None
         if self._pending_action is not None:
             return None
         return self._write(self.fencing, now, releases=True)
@@ -356,7 +371,7 @@
 
     def _next_release_action(self, now: float) -> LeaseAction | None:
         """Return the next action of a release that is not completed."""
-        if not self._releasing:
+        if not self._releasing or now < self._kept_until:
             return None
         if self._must_read:
             self._pending_action = ReadLease(self.key)
@@ -369,7 +384,7 @@
 
     def _on_answer(self, now: float) -> None:
         if self.role(now) is Role.degraded:
-            self.terms.end(now)
+            self.terms.end(now, self.held_until())
         self._pending_action = None
         self._failures = 0
         self._store_unavailable = False
@@ -390,7 +405,7 @@
             return
         is_degraded = self.role(now) is Role.degraded
         ordered_until = now if is_degraded else min(now, self._deadline)
-        self.terms.end(ordered_until)
+        self.terms.end(ordered_until, self._deadline)
         self._deadline = None
         self._must_read = True
 
--- a/cowsliprack/coordination/lease_terms.py
+++ b/cowsliprack/coordination/lease_terms.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Callable
 
 import structlog
 
@@ -31,6 +32,10 @@
     return duration + _ARRIVAL_SECONDS
 
 
+def _always() -> bool:
+    return True
+
+
 def _rounded(seconds: float) -> float | None:
     return round(seconds, 3) if math.isfinite(seconds) else None
 
@@ -41,6 +46,8 @@
     :param candidate: this instance.
     :param ordered_until: until when an earlier process of the instance may have
         ordered, seconds.
+    :ivar others_rest: returns whether all other instances are of builds that
+        rest between two terms.
     """
 
     def __init__(
@@ -49,10 +56,14 @@
         ordered_until: float,
     ) -> None:
         """Start without a term of this process."""
+        self.others_rest: Callable[[], bool] = _always
         self._candidate = candidate
         self._rest = rest_seconds(candidate.duration)
         # Last moment at which this instance could order.
         self._ordered_until = ordered_until
+        self._acquired_at = NEVER
+        # Deadline of the last term.
+        self._deadline = NEVER
         # The lease object before the own term.
         self._before = LeaseBody()
         self._logged_until = NEVER
@@ -63,6 +74,7 @@
         :param fencing: its number.
         :param sent_at: own clock before the lease was requested, seconds.
         """
+        self._acquired_at = sent_at
         _log.info(
             'lease_acquired',
             fencing=fencing,
@@ -71,13 +83,33 @@
             since_own_orders=_rounded(sent_at - self._ordered_until),
         )
 
-    def end(self, ordered_until: float) -> None:
+    def end(self, ordered_until: float, deadline: float) -> None:
         """Record the end of a term.
 
         :param ordered_until: own clock at the last moment at which this
             instance could order, seconds.
+        :param deadline: of the lease, own clock, seconds.
         """
         self._ordered_until = max(self._ordered_until, ordered_until)
+        self._deadline = deadline
+
+    def kept_until(self) -> float:
+        """Return until when a term that ends early keeps the lease, in seconds.
+
+        A holder of an earlier build that led before does not rest, so the lease
+        is free no sooner than one duration after it was acquired.
+        """
+        return NEVER if self.others_rest() else self._acquired_at + self._rest
+
+    def closed_until(self, held_until: float, now: float) -> float:
+        """Return until when others leave the lease alone if the term ends now.
+
+        :param held_until: deadline of the lease, if it is held, seconds.
+        :param now: own clock, seconds.
+        :returns: own clock, seconds; ``now`` if the lease is released at once.
+        """
+        is_kept = now < self.kept_until()
+        return max(held_until, self._deadline) if is_kept else now
 
     def may_begin(
         self, observation: LeaseObservation, fencing: int, now: float
--- a/cowsliprack/coordination/succession.py
+++ b/cowsliprack/coordination/succession.py
@@ -10,6 +10,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from cowsliprack.protocol.gateway_messages import (
+    LeaderView,
+    MemberReport,
+    PeerView,
+)
+from cowsliprack.protocol.message_level import REST_LEVEL, message_level
+from cowsliprack.protocol.peer import AnyPeerMessage
+
 # Processor time of an instance that leads a region well, in cores.
 _MIN_LEADER_CORES = 1.0
 # Seconds from the end of a lease to the first attempt of a smaller instance,
@@ -19,6 +27,8 @@
 # Time after an outage of the store in which calls made during the outage may
 # still hold a larger instance up, in seconds: the timeout of a call.
 _HELD_UP_SECONDS = 1.0
+# Time after which an instance that is not heard of has left the region.
+_FORGOTTEN_AFTER_SECONDS = 60.0
 # Longest delay. Applies also to instances that reach no engine.
 _MAX_DELAY_SECONDS = 4.0
 
@@ -57,6 +67,46 @@
         }
 
 
+@dataclass(slots=True)
+class KnownBuilds:
+    """Which of the instances heard of lately rest between two terms."""
+
+    # Message level and when it was last heard of, seconds.
+    _level_by_id: dict[str, tuple[int, float]] = field(default_factory=dict)
+    _peers: tuple[PeerView, ...] = ()
+
+    def observe(self, message: AnyPeerMessage, now: float) -> None:
+        """Record the instances that a message names.
+
+        :param message: received, of any kind.
+        :param now: seconds.
+        """
+        if isinstance(message, MemberReport):
+            self._note(message, now)
+        elif isinstance(message, LeaderView) and message.peers:
+            # A new leader may not have heard of all instances yet.
+            for peer in (*self._peers, *message.peers):
+                self._note(peer, now)
+            self._peers = message.peers
+
+    def all_rest(self, now: float) -> bool:
+        """Return whether all instances rest between two terms.
+
+        :param now: seconds.
+        """
+        levels = [message_level(peer.boot) for peer in self._peers]
+        levels.extend(
+            level
+            for level, heard_at in self._level_by_id.values()
+            if now - heard_at < _FORGOTTEN_AFTER_SECONDS
+        )
+        return min(levels, default=REST_LEVEL) >= REST_LEVEL
+
+    def _note(self, instance: MemberReport | PeerView, now: float) -> None:
+        level = message_level(instance.boot)
+        self._level_by_id[instance.instance_id] = (level, now)
+
+
 def leads_well(cores: float) -> bool:
     """Return whether an instance has enough processor time to lead a region.
 
--- a/cowsliprack/protocol/message_level.py
+++ b/cowsliprack/protocol/message_level.py
@@ -16,13 +16,16 @@
 # 3: the announcement of a new leader, compressed configurations, and parts of
 #    the organisations' limits by demand;
 # 4: streams that members begin, sent to the leader to be recorded.
-MESSAGE_LEVEL = 4
+# Also raised with what an instance does:
+# 5: it rests between two terms as leader.
+MESSAGE_LEVEL = 5
 ABSENCES_LEVEL = 1
 LOADS_DUE_LEVEL = 2
 ANNOUNCEMENT_LEVEL = 3
 CREDIT_SHARES_LEVEL = 3
 COMPRESSED_CONFIGURATION_LEVEL = 3
 RECORDED_STREAMS_LEVEL = 4
+REST_LEVEL = 5
 _SEPARATOR = '.'
 _ID_LENGTH = 12
 
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -14,6 +14,7 @@
 from cowsliprack.coordination.notice_exchange import MemberNotices
 from cowsliprack.coordination.relayed_targets import stated_version
 from cowsliprack.coordination.succession import (
+    KnownBuilds,
     PastLeaders,
     leads_well,
     seconds_before_turn,
@@ -91,6 +92,7 @@
     _leader_address: str = ''
     _leader_fencing: int = 0
     _past_leaders: PastLeaders = field(default_factory=PastLeaders)
+    _builds: KnownBuilds = field(default_factory=KnownBuilds)
     _view_fencing: int = 0
     _view_sequence: int = 0
     _relayed: RelayedReading = field(init=False)
@@ -172,6 +174,9 @@
             first_start=context.first_start,
             version_ages=self.origins.version_ages,
         )
+        self.lease.terms.others_rest = lambda: self._builds.all_rest(
+            context.clock()
+        )
 
     async def run(self) -> None:
         """Follow or lead the region until cancelled."""
@@ -315,6 +320,7 @@
             guard.handle(self._handle_message, sender, sender, message)
 
     def _handle_message(self, sender: str, message: AnyPeerMessage) -> None:
+        self._builds.observe(message, self.context.clock())
         match message:
             case MemberReport() | CreditAsk():
                 if self.term is not None:
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -156,6 +156,8 @@
         if self._ended or not self._reach_watch.has_lost_engines():
             return False
         now = self._context.clock()
+        if now < self._lease.terms.kept_until():
+            return False
         oldest = now - rest_seconds(self._context.lease_seconds)
         resting = self._past_leaders.ended_after(oldest)
         others = self.state.successors(now)
@@ -376,7 +378,9 @@
     def _send_view(self, member: Member) -> None:
         context = self._context
         now = context.clock()
-        left = 0 if self._ended else max(self._lease.held_until() - now, 0)
+        closed_until = self._lease.held_until()
+        if self._ended:
+            closed_until = self._lease.terms.closed_until(closed_until, now)
         report = member.report
         proof_offset = None
         if member.stamp:
@@ -391,7 +395,7 @@
             proof_offset=proof_offset,
             **registry_changes(context.fleet.registry, report),
             lease_version=self._lease.observation.version,
-            lease_left=left,
+            lease_left=max(closed_until - now, 0),
             credit=self._credit_news(report),
         )
         self._deliver(report.instance_id, report.address, view)
--- a/tests/coordination/lease.feature
+++ b/tests/coordination/lease.feature
@@ -363,3 +363,30 @@
       | 1     |
       | 2     |
       | 3     |
+
+  Scenario: A leader of an earlier build leads again too soon after another one
+    Given a is of an earlier build
+    And a leads
+    And a competes again after a release
+    When a releases the lease
+    And a has the fault "frozen" and b runs for 3 seconds
+    And b releases the lease
+    Then a takes the lease after 3 to 6.5 seconds
+
+  Scenario: A process waits for its release though another build must not lead yet
+    Given a is of an earlier build
+    And a leads
+    And a competes again after a release
+    When a releases the lease
+    And a has the fault "frozen" and b runs for 3 seconds
+    And b is asked to stop and ends
+    Then a takes the lease after 3 to 7.5 seconds
+
+  Scenario Outline: Builds side by side take turns in drawn sequences: <count> instances
+    When <count> instances, one of an earlier build, hand over, restart and lose the store for 60 seconds, 200 times
+    Then no holder orders again within a lease after another one
+
+    Examples:
+      | count |
+      | 2     |
+      | 3     |
--- a/tests/coordination/region_state.feature
+++ b/tests/coordination/region_state.feature
@@ -58,6 +58,16 @@
     And it sends a view every 0.05 seconds for 2 seconds
     Then the instance has been sent 3 copies of the configuration
 
+  Scenario Outline: A term that ends early leaves the lease to <others> at once
+    Given a leader with generation 2 and an instance that reports generation 2
+    When its term ends beside <others>
+    Then others leave the lease alone for <seconds> seconds
+
+    Examples:
+      | others                       | seconds |
+      | instances that rest          | 0       |
+      | one that does not rest       | 3       |
+
   Scenario: Requests that need different software versions are counted apart
     Given two instances with requests for a, at v1 and at any version
     Then 2 groups wait, one of them at v1
--- a/tests/coordination/succession.feature
+++ b/tests/coordination/succession.feature
@@ -58,6 +58,12 @@
       | i0 until 1 second ago           | yes    |
       | nobody                          | yes    |
 
+  Scenario: A leader ends its term though nobody may lead before its lease ends
+    Given a leader that reaches no engine, with a lease of 3 seconds
+    And before it led nobody
+    And its lease is kept for 1 seconds
+    Then it hands over: no
+
   Scenario Outline: Instances of message levels <levels>
     Given the instances of a region have the message levels <levels>
     Then a new leader announces itself to all: <answer>
@@ -69,6 +75,21 @@
       | 3, 0    | no     |
       | 3       | no     |
 
+  Scenario Outline: An instance of an earlier build is overlooked: levels <levels>
+    Given a new leader that hears of instances of message levels <levels>
+    Then it takes all of them to rest between two terms: <answer>
+
+    Examples:
+      | levels                               | answer |
+      | 5, 5 in its list                     | yes    |
+      | 5, 4 in its list                     | no     |
+      | 5, 0 in its list                     | no     |
+      | 4 in a report                        | no     |
+      | 5 in a report                        | yes    |
+      | 4 in the list of the last leader     | no     |
+      | 4 in a report, 61 seconds ago        | yes    |
+      | 4 in its list, 61 seconds ago        | no     |
+
   Scenario Outline: An instance with <cores> cores that started <seconds> seconds ago
     Given an instance with <cores> cores that has no view of a leader
     When it has run for <seconds> seconds
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -32,8 +32,8 @@
         self.fencing_numbers = {name: set() for name in names}
         # When each instance last could order.
         self.ordered_at = {}
-        # Whether instances compete again after a release.
-        self.resumes = False
+        # Instances that compete again after a release.
+        self.resumes = set()
         self.leases = {}
         self.write_faults = {}
         self.events = []
@@ -64,7 +64,7 @@
             while self.events and self.events[0][0] <= self.now:
                 heapq.heappop(self.events)[2]()
             for name in names:
-                if self.resumes:
+                if name in self.resumes:
                     self.leases[name].resume()
                 action = self.leases[name].tick(self.now)
                 if action is not None:
@@ -102,7 +102,10 @@
 
     def announce_term(self, holder_name):
         holder = self.leases[holder_name]
-        remaining = max(holder.held_until() - self.now, 0)
+        closed_until = holder.held_until()
+        if not holder.is_leader(self.now):
+            closed_until = holder.terms.closed_until(closed_until, self.now)
+        remaining = max(closed_until - self.now, 0)
         for name, lease in self.leases.items():
             if name != holder_name:
                 lease.observe_term(
@@ -414,7 +417,12 @@
 
 @given('instances compete again after a release')
 def given_resume(context):
-    context.simulation.resumes = True
+    context.simulation.resumes = {'a', 'b'}
+
+
+@given('{name} competes again after a release')
+def given_one_resumes(context, name):
+    context.simulation.resumes = {name}
 
 
 @then('{name} takes the lease after {least:g} to {most:g} seconds')
@@ -474,12 +482,24 @@
 )
 
 
-def _play(names, seed, seconds):
+class _MixedSimulation(_Simulation):
+    """Beside an instance a of a build that does not rest between terms."""
+
+    def join(self, name, **options):
+        super().join(name, **options)
+        terms = self.leases[name].terms
+        if name == 'a':
+            terms.may_begin = lambda *_: True
+        else:
+            terms.others_rest = lambda: False
+
+
+def _play(simulation, seed, seconds):
     """Draw releases, restarts, lost writes, freezes and outages."""
     rng = random.Random(seed)
-    simulation = _Simulation(names)
-    simulation.resumes = True
-    simulation.run(1, list(names))
+    names = list(simulation.leases)
+    simulation.resumes = set(names)
+    simulation.run(1, names)
     while simulation.now < 100 + seconds:
         rng.choice(_EVENTS)(simulation, rng)
         running = list(simulation.leases)
@@ -504,14 +524,38 @@
     '{seconds:d} seconds, {plays:d} times'
 )
 def when_played(context, count, seconds, plays):
+    _play_all(context, _Simulation, 'abc'[:count], seconds, plays)
+
+
+def _play_all(context, simulation_type, names, seconds, plays):
     context.failures = {}
     for seed in range(plays):
         try:
-            _play('abc'[:count], seed, seconds)
+            _play(simulation_type(names), seed, seconds)
         except AssertionError as error:
             context.failures[seed] = str(error)
 
 
+@when(
+    '{count:d} instances, one of an earlier build, hand over, restart and lose '
+    'the store for {seconds:d} seconds, {plays:d} times'
+)
+def when_mixed_played(context, count, seconds, plays):
+    _play_all(context, _MixedSimulation, 'abc'[:count], seconds, plays)
+
+
+@given('a is of an earlier build')
+def given_earlier_build(context):
+    context.simulation = _MixedSimulation()
+
+
+@when('b is asked to stop and ends')
+def when_ends(context):
+    simulation = context.simulation
+    assert simulation.leases['b'].release(simulation.now) is None
+    simulation.leases.pop('b')
+
+
 @then('no holder orders again within a lease after another one')
 def then_no_turns(context):
     assert not context.failures, (len(context.failures), context.failures)
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -9,6 +9,8 @@
 
 from cowsliprack.coordination.fleet_view import FleetView
 from cowsliprack.coordination.freshness import Freshness
+from cowsliprack.coordination.lease_record import Candidate
+from cowsliprack.coordination.lease_terms import LeaseTerms
 from cowsliprack.coordination.model_scheduler import ModelScheduler
 from cowsliprack.coordination.region_state import (
     RegionState,
@@ -288,6 +290,24 @@
         context.now += pause
 
 
+@when('its term ends beside {others}')
+def when_term_ends(context, others):
+    terms = LeaseTerms(Candidate('i0', '', 3, 's'), 0)
+    terms.begin(7, context.now)
+    terms.others_rest = lambda: others == 'instances that rest'
+    context.term._lease.terms = terms
+    report = replace_fields(_report(1, ()), generation=2)
+    context.term.state.apply_report(report, context.now)
+    context.term.end()
+    context.term._send_views(to_all=True)
+
+
+@then('others leave the lease alone for {seconds:g} seconds')
+def then_left_alone(context, seconds):
+    views = [one for one in context.sent if isinstance(one, LeaderView)]
+    assert views[-1].lease_left == seconds, views
+
+
 @when('the leader has generation {generation:d}')
 def when_generation(context, generation):
     context.generation = generation
--- a/tests/steps/succession_steps.py
+++ b/tests/steps/succession_steps.py
@@ -10,10 +10,15 @@
 from cowsliprack.coordination.lease_record import WriteLease
 from cowsliprack.coordination.region_state import RegionState
 from cowsliprack.coordination.succession import (
+    KnownBuilds,
     PastLeaders,
     seconds_before_turn,
 )
-from cowsliprack.protocol.gateway_messages import MemberReport, PeerView
+from cowsliprack.protocol.gateway_messages import (
+    LeaderView,
+    MemberReport,
+    PeerView,
+)
 from cowsliprack.protocol.message_level import (
     knows_announcements,
     new_process_id,
@@ -201,6 +206,12 @@
 def given_cut_off_leader(context, seconds):
     context.lease_seconds = seconds
     context.now = 100.0
+    context.kept_until = float('-inf')
+
+
+@given('its lease is kept for {seconds:g} seconds')
+def given_kept(context, seconds):
+    context.kept_until = context.now + seconds
 
 
 @given('before it led {others}')
@@ -219,6 +230,9 @@
         _ended=False,
         _past_leaders=past_leaders,
         _has_logged_resting=False,
+        _lease=SimpleNamespace(
+            terms=SimpleNamespace(kept_until=lambda: context.kept_until)
+        ),
         _reach_watch=SimpleNamespace(has_lost_engines=lambda: True),
         _context=SimpleNamespace(
             clock=lambda: context.now, lease_seconds=context.lease_seconds
@@ -226,12 +240,12 @@
     )
 
 
-def _report(instance_id):
+def _report(instance_id, level=5):
     return MemberReport(
         instance_id=instance_id,
         address='',
         zone='z',
-        boot=new_process_id(),
+        boot=new_process_id(level),
         sequence=1,
         stamp=0,
         view_sequence=0,
@@ -246,3 +260,45 @@
 def then_hands_over(context, answer):
     hands_over = RegionTerm.should_hand_over(context.term)
     assert hands_over == (answer == 'yes')
+
+
+@given('a new leader that hears of instances of message levels {heard}')
+def given_heard(context, heard):
+    levels, _, source = heard.partition(' in ')
+    instances = [
+        _report(f'i{number}', int(level))
+        for number, level in enumerate(levels.split(','), start=1)
+    ]
+    context.builds = KnownBuilds()
+    if source.startswith('a report'):
+        for report in instances:
+            context.builds.observe(report, 0)
+    else:
+        context.builds.observe(_view(instances), -100)
+    if source == 'the list of the last leader':
+        context.builds.observe(_view([_report('i0')]), 0)
+    context.now = 61 if '61 seconds' in source else 1
+
+
+def _view(instances):
+    return LeaderView(
+        fencing=1,
+        sequence=1,
+        instance_id='i0',
+        address='',
+        base=0,
+        stamp=0,
+        engines=(),
+        gone=(),
+        members=1,
+        limits=(),
+        peers=tuple(
+            PeerView(one.instance_id, '', 'z', one.boot) for one in instances
+        ),
+        peers_digest=1,
+    )
+
+
+@then('it takes all of them to rest between two terms: {answer}')
+def then_all_rest(context, answer):
+    assert context.builds.all_rest(context.now) == (answer == 'yes')
