--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -14,6 +14,8 @@
 from cowsliprack.coordination.notice_exchange import MemberNotices
 from cowsliprack.coordination.relayed_targets import stated_version
 from cowsliprack.coordination.succession import (
+    KnownBuilds,
+    PastLeaders,
     leads_well,
     seconds_before_turn,
     turns_begin,
@@ -89,6 +91,8 @@
     _leader_id: str = ''
     _leader_address: str = ''
     _leader_fencing: int = 0
+    _past_leaders: PastLeaders = field(default_factory=PastLeaders)
+    _builds: KnownBuilds = field(default_factory=KnownBuilds)
     _view_fencing: int = 0
     _view_sequence: int = 0
     _relayed: RelayedReading = field(init=False)
@@ -166,9 +170,13 @@
             context.address,
             context.lease_seconds,
             random.Random(),
+            started_at=self._started_at,
             first_start=context.first_start,
             version_ages=self.origins.version_ages,
         )
+        self.lease.terms.others_rest = lambda: self._builds.all_rest(
+            context.clock()
+        )
 
     async def run(self) -> None:
         """Follow or lead the region until cancelled."""
@@ -264,6 +272,7 @@
         if fencing < max(self._leader_fencing, self._view_fencing):
             return
         self._leader_fencing = fencing
+        self._past_leaders.note(leader_id, fencing, self.context.clock())
         if leader_id == self._leader_id:
             return
         self._leader_id = leader_id
@@ -284,6 +293,7 @@
                     self.reach_watch,
                     self._store_limits,
                     self.origins.peers,
+                    self._past_leaders,
                 )
                 self.term = term
                 await term.run(
@@ -315,14 +325,20 @@
             guard.handle(self._handle_message, sender, sender, message)
 
     def _handle_message(self, sender: str, message: AnyPeerMessage) -> None:
+        self._builds.observe(message, self.context.clock())
         match message:
             case MemberReport() | CreditAsk():
                 if self.term is not None:
                     self.term.handle_message(message)
             case LeaderView():
+                self._past_leaders.note(
+                    message.instance_id, message.fencing, self.context.clock()
+                )
                 self._apply_view(message)
             case LeaderAnnounced():
-                self.lease.observe_fencing(message.fencing)
+                self.lease.observe_fencing(
+                    message.fencing, self.context.clock()
+                )
                 self._follow(
                     message.instance_id, message.address, message.fencing
                 )
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -16,10 +16,12 @@
     CreditShares,
 )
 from cowsliprack.coordination.lease import Lease, Role
+from cowsliprack.coordination.lease_terms import rest_seconds
 from cowsliprack.coordination.model_scheduler import ModelScheduler
 from cowsliprack.coordination.notice_exchange import LeaderNotices
 from cowsliprack.coordination.region_state import Member, RegionState
 from cowsliprack.coordination.relayed_targets import registry_changes
+from cowsliprack.coordination.succession import PastLeaders
 from cowsliprack.coordination.token_credit import LeaderTokenCredit
 from cowsliprack.logs import log_decision
 from cowsliprack.protocol.credit_messages import CreditShare
@@ -96,6 +98,7 @@
     :param reach_watch: knows the services of which no target is reached.
     :param first_store_limits: see ``RegionState``.
     :param peers: instances that the last leader knew.
+    :param past_leaders: instances that led before.
     """
 
     def __init__(
@@ -107,6 +110,7 @@
         reach_watch: ReachWatch,
         first_store_limits: Mapping[str, int],
         peers: Iterable[PeerView],
+        past_leaders: PastLeaders,
     ) -> None:
         """Create an empty state; no order is sent before ``run``."""
         self._context = context
@@ -115,6 +119,8 @@
         self._version_ages = version_ages
         self._reach_watch = reach_watch
         self._peers = tuple(peers)
+        self._past_leaders = past_leaders
+        self._has_logged_resting = False
         self._ended = False
         self._end_reason: EndReason | None = None
         self._unanswered_orders = 0
@@ -173,11 +179,20 @@
         self._ended = True
 
     def should_hand_over(self) -> bool:
-        """Return whether another instance reaches engines and this one none."""
+        """Return whether another instance reaches engines and this one none.
+
+        The other one must be able to lead at once: one that has led shortly
+        before rests first, and nobody would lead meanwhile.
+        """
         if self._ended or not self._reach_watch.has_lost_engines():
             return False
         now = self._context.clock()
-        successors = self.state.successors(now)
+        if now < self._lease.terms.kept_until():
+            return False
+        oldest = now - rest_seconds(self._context.lease_seconds)
+        resting = self._past_leaders.ended_after(oldest)
+        others = self.state.successors(now)
+        successors = [one for one in others if one not in resting]
         if successors:
             log_decision(
                 'hand_over',
@@ -185,6 +200,14 @@
                 'this leader reaches no engine, other instances do',
                 fencing=self.state.fencing,
             )
+        elif others and not self._has_logged_resting:
+            self._has_logged_resting = True
+            log_decision(
+                'no_hand_over',
+                others[:_MAX_LOGGED_NAMES],
+                'this leader reaches no engine; those that do have just led',
+                fencing=self.state.fencing,
+            )
         return bool(successors)
 
     async def run(self, since_last_term: float | None) -> None:
@@ -405,7 +428,9 @@
     def _send_view(self, member: Member) -> None:
         context = self._context
         now = context.clock()
-        left = 0 if self._ended else max(self._lease.held_until() - now, 0)
+        closed_until = self._lease.held_until()
+        if self._ended:
+            closed_until = self._lease.terms.closed_until(closed_until, now)
         report = member.report
         proof_offset = None
         if member.stamp:
@@ -420,7 +445,7 @@
             proof_offset=proof_offset,
             **registry_changes(context.fleet.registry, report),
             lease_version=self._lease.observation.version,
-            lease_left=left,
+            lease_left=max(closed_until - now, 0),
             credit=self._credit_news(report),
         )
         self._deliver(report.instance_id, report.address, view)
--- a/tests/steps/succession_steps.py
+++ b/tests/steps/succession_steps.py
@@ -8,14 +8,24 @@
 from cowsliprack.coordination.freshness import RelayedReading
 from cowsliprack.coordination.lease import Lease
 from cowsliprack.coordination.lease_record import WriteLease
-from cowsliprack.coordination.succession import seconds_before_turn
-from cowsliprack.protocol.gateway_messages import PeerView
+from cowsliprack.coordination.region_state import RegionState
+from cowsliprack.coordination.succession import (
+    KnownBuilds,
+    PastLeaders,
+    seconds_before_turn,
+)
+from cowsliprack.protocol.gateway_messages import (
+    LeaderView,
+    MemberReport,
+    PeerView,
+)
 from cowsliprack.protocol.message_level import (
     knows_announcements,
     new_process_id,
 )
 from cowsliprack.protocol.store import StoredObject
 from cowsliprack.transport.region import Region
+from cowsliprack.transport.region_term import RegionTerm
 
 _LAST_FENCING = 40
 
@@ -116,7 +126,7 @@
 
 @given('an instance with 0.12 cores that {state}')
 def given_lease_state(context, state):
-    lease = Lease('r', 'i0', '', _LEASE_SECONDS, random.Random(1))
+    lease = Lease('r', 'i0', '', _LEASE_SECONDS, random.Random(1), started_at=0)
     lease.tick(0)
     lease.on_read(None, 0)
     if state != 'has never led':
@@ -160,7 +170,7 @@
     'was silent'
 )
 def given_turn_in_outage(context, cores):
-    lease = Lease('r', 'i0', '', _LEASE_SECONDS, random.Random(1))
+    lease = Lease('r', 'i0', '', _LEASE_SECONDS, random.Random(1), started_at=0)
     lease.observe_term(1, 7, _LEASE_SECONDS, 0)
     body = {'holder': 'i1', 'fencing': 1, 'duration': _LEASE_SECONDS}
     context.stored = StoredObject('leases/r', 7, body)
@@ -190,3 +200,105 @@
 @then('it calls the store: {answer}')
 def then_calls(context, answer):
     assert (context.action is not None) == (answer == 'yes'), context.action
+
+
+@given('a leader that reaches no engine, with a lease of {seconds:g} seconds')
+def given_cut_off_leader(context, seconds):
+    context.lease_seconds = seconds
+    context.now = 100.0
+    context.kept_until = float('-inf')
+
+
+@given('its lease is kept for {seconds:g} seconds')
+def given_kept(context, seconds):
+    context.kept_until = context.now + seconds
+
+
+@given('before it led {others}')
+def given_past_leaders(context, others):
+    names, _, since = others.partition(' until ')
+    led = [] if names == 'nobody' else names.split(' and ')
+    past_leaders = PastLeaders()
+    ended_at = context.now - (float(since.split()[0]) if since else 0)
+    for fencing, name in enumerate([*led, 'i0'], start=1):
+        past_leaders.note(name, fencing, ended_at)
+    state = RegionState(len(led) + 1, 'i0', '')
+    for name in {'i0', 'i1', *led}:
+        state.apply_report(_report(name), context.now)
+    context.term = SimpleNamespace(
+        state=state,
+        _ended=False,
+        _past_leaders=past_leaders,
+        _has_logged_resting=False,
+        _lease=SimpleNamespace(
+            terms=SimpleNamespace(kept_until=lambda: context.kept_until)
+        ),
+        _reach_watch=SimpleNamespace(has_lost_engines=lambda: True),
+        _context=SimpleNamespace(
+            clock=lambda: context.now, lease_seconds=context.lease_seconds
+        ),
+    )
+
+
+def _report(instance_id, level=5):
+    return MemberReport(
+        instance_id=instance_id,
+        address='',
+        zone='z',
+        boot=new_process_id(level),
+        sequence=1,
+        stamp=0,
+        view_sequence=0,
+        view_fencing=0,
+        waiting=(),
+        engines=(),
+        generation=0,
+    )
+
+
+@then('it hands over: {answer}')
+def then_hands_over(context, answer):
+    hands_over = RegionTerm.should_hand_over(context.term)
+    assert hands_over == (answer == 'yes')
+
+
+@given('a new leader that hears of instances of message levels {heard}')
+def given_heard(context, heard):
+    levels, _, source = heard.partition(' in ')
+    instances = [
+        _report(f'i{number}', int(level))
+        for number, level in enumerate(levels.split(','), start=1)
+    ]
+    context.builds = KnownBuilds()
+    if source.startswith('a report'):
+        for report in instances:
+            context.builds.observe(report, 0)
+    else:
+        context.builds.observe(_view(instances), -100)
+    if source == 'the list of the last leader':
+        context.builds.observe(_view([_report('i0')]), 0)
+    context.now = 61 if '61 seconds' in source else 1
+
+
+def _view(instances):
+    return LeaderView(
+        fencing=1,
+        sequence=1,
+        instance_id='i0',
+        address='',
+        base=0,
+        stamp=0,
+        engines=(),
+        gone=(),
+        members=1,
+        limits=(),
+        peers=tuple(
+            PeerView(one.instance_id, '', 'z', one.boot) for one in instances
+        ),
+        peers_digest=1,
+    )
+
+
+@then('it takes all of them to rest between two terms: {answer}')
+def then_all_rest(context, answer):
+    assert context.builds.all_rest(context.now) == (answer == 'yes')
