Release the lease once the orders of its term have ended

At a hand-over and at a planned stop the term was marked as ended and the release written in the same step, while an order that waited for its connection or its answer went on until the loop of the term looked again (50 ms and more), and the lease was checked before the connection was opened, not before the order was written.

RegionTerm.end only stops new orders. The loop of the term goes on, serves the members and keeps the lease until no order is unanswered (0.3 s each at most), then says to the members that it has stopped; Region._lead then writes the release. Each order checks the lease again once its connection stands, right before its bytes are written, on the clock that runs during suspension; an attempt lasts no longer than the lease, and the waits of the term's loop end with the lease instead of up to a batch after it. Between the check and the write lies one pass of the event loop.

Evidence, tests/transport/region_term.feature: two instances before an engine on a real socket, lease 1.5 s.

--- a/cowsliprack/platform/engine_client.py
+++ b/cowsliprack/platform/engine_client.py
@@ -1,7 +1,10 @@
 """HTTP client for model engines of the platform: orders and reports."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from types import MappingProxyType
+from typing import Any
 
 import anyio
 import httpx
@@ -17,6 +20,7 @@
 from cowsliprack.state.engine_state import EngineOrder
 from cowsliprack.state.target_registry import TargetRecord
 from cowsliprack.transport.bounded_body import MAX_REPORT_BYTES, read_body
+from cowsliprack.transport.checked_transport import SEND_STARTED_EVENT
 from cowsliprack.transport.running_time import RunningTime
 
 # Seconds. An engine accepts or refuses an order in milliseconds; without a
@@ -66,12 +70,14 @@
         record: TargetRecord,
         order: EngineOrder,
         preconditions: OrderPreconditions,
+        may_send: Callable[[], bool],
     ) -> OrderAnswer:
         """Send an order once; a failed order is never retried here.
 
         :param record: registered data of the engine.
         :param order: the order to carry out.
         :param preconditions: the engine refuses the order unless they hold.
+        :param may_send: see ``EngineControl``.
         """
         body = _Order(
             op=order.kind.value,
@@ -85,7 +91,11 @@
         try:
             with self.running_time.fail_after(_ORDER_TIMEOUT_SECONDS):
                 status, _ = await self._exchange(
-                    'POST', '/-/order', record, content
+                    'POST',
+                    '/-/order',
+                    record,
+                    content,
+                    {'trace': partial(_check_lease, may_send)},
                 )
         except (httpx.HTTPError, TimeoutError) as failure:
             _log.warning(
@@ -137,6 +147,7 @@
         path: str,
         record: TargetRecord,
         content: bytes | None = None,
+        extensions: dict[str, Any] | None = None,
     ) -> tuple[int, bytes]:
         """Return the status and the body of an engine's response."""
         headers = {'x-expect-instance': record.target_id}
@@ -148,6 +159,7 @@
                 f'http://{record.address}{path}',
                 content=content,
                 headers=headers,
+                extensions=extensions,
             )
         except (httpx.InvalidURL, ValueError) as error:
             raise httpx.LocalProtocolError(repr(error)) from error
@@ -158,3 +170,11 @@
             with anyio.CancelScope(shield=True):
                 await response.aclose()
         return response.status_code, body
+
+
+async def _check_lease(
+    may_send: Callable[[], bool], event: str, _: object
+) -> None:
+    """Stop an order whose connection stands once the lease has ended."""
+    if event == SEND_STARTED_EVENT and not may_send():
+        raise httpx.RequestError('the lease has ended')
--- a/cowsliprack/protocol/engine.py
+++ b/cowsliprack/protocol/engine.py
@@ -1,7 +1,7 @@
 """Interface of model engines: orders and status reports."""
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -74,12 +74,16 @@
         record: TargetRecord,
         order: EngineOrder,
         preconditions: OrderPreconditions,
+        may_send: Callable[[], bool],
     ) -> OrderAnswer:
         """Send an order once, without a retry.
 
         :param record: registration of the engine.
         :param order: what to do.
         :param preconditions: the engine refuses the order unless they hold.
+        :param may_send: called once the connection is open, right before the
+            order is written; if it returns false, nothing is written and the
+            answer is ``unknown``.
         """
 
     async def survey(self, record: TargetRecord) -> EngineSurvey | None:
--- a/cowsliprack/transport/checked_transport.py
+++ b/cowsliprack/transport/checked_transport.py
@@ -43,7 +43,8 @@
     anyio.ClosedResourceError,
 )
 _BODY_ERRORS = (h11.RemoteProtocolError, *_CONNECTION_ERRORS)
-_SEND_STARTED_EVENT = 'http11.send_request_headers.started'
+# The same as of httpcore.
+SEND_STARTED_EVENT = 'http11.send_request_headers.started'
 
 
 @dataclass(slots=True, eq=False)
@@ -252,7 +253,7 @@
     ) -> httpx.Response:
         trace = request.extensions.get('trace')
         if trace is not None:
-            await trace(_SEND_STARTED_EVENT, {})
+            await trace(SEND_STARTED_EVENT, {})
         await connection.send(request)
         event = await connection.next_event()
         for _ in range(_MAX_INTERIM_RESPONSES):
--- a/cowsliprack/transport/order_executor.py
+++ b/cowsliprack/transport/order_executor.py
@@ -1,7 +1,7 @@
 """Sends load and unload orders to engines and tracks their results."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -60,17 +60,19 @@
 class OrderExecutor:
     """Sends the orders of one term, one at a time to each engine.
 
-    :param holds_lease: returns whether the lease is held; called right before
-        each order.
+    :param lease_left: returns the seconds in which orders may be sent; 0 once
+        the term has ended.
     :param changed: called when an engine's state has changed.
     :param clock: seconds; must keep running during suspension.
+    :ivar unanswered: number of orders that are sent and not answered yet.
     """
 
     state: RegionState
     engines: EngineControl
-    holds_lease: Callable[[], bool]
+    lease_left: Callable[[], float]
     changed: Callable[[], None]
     clock: Callable[[], float]
+    unanswered: int = field(default=0, init=False)
 
     async def survey(self, engine: EngineState) -> None:
         """Ask an engine what it holds, until it answers and is idle.
@@ -161,6 +163,10 @@
             await self.survey(engine)
         self.changed()
 
+    def has_settled(self) -> bool:
+        """Return whether no order is on its way to an engine."""
+        return not self.unanswered
+
     def is_current(self, engine: EngineState) -> bool:
         """Return whether an engine is still registered.
 
@@ -179,7 +185,7 @@
         executed late has no unplanned effect.
         """
         attempts = _OrderAttempts()
-        while self.is_current(engine) and self.holds_lease():
+        while self.is_current(engine) and self.lease_left() > 0:
             answer = await self._send_once(engine, order)
             resolved = await self._resolve_answer(
                 engine, order, answer, attempts
@@ -230,9 +236,18 @@
             self.state.fencing,
             engine.order_count,
         )
-        return await self.engines.send_order(
-            engine.record, order, preconditions
-        )
+        self.unanswered += 1
+        try:
+            with anyio.move_on_after(self.lease_left()):
+                return await self.engines.send_order(
+                    engine.record,
+                    order,
+                    preconditions,
+                    lambda: self.lease_left() > 0,
+                )
+        finally:
+            self.unanswered -= 1
+        return OrderAnswer.unknown
 
     async def _check_result(
         self,
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -206,26 +206,24 @@
         return self.lease.is_leader(self.context.clock())
 
     async def release(self) -> None:
-        """End the term and release the lease before a planned shutdown."""
+        """End the term before a planned shutdown.
+
+        The lease is released once the orders on their way have ended.
+        """
         self.leaving = True
-        if self.term is not None:
+        if self.term is None:
+            await self._carry_out(self.lease.release(self.context.clock()))
+        else:
             self.term.end()
-        action = self.lease.release(self.context.clock())
-        if action is not None:
-            await self._carry_out(action)
 
     async def _keep_lease(self) -> None:
         while True:
             now = self.context.clock()
             if self.term is not None and self.term.should_hand_over():
                 self.term.end()
-                action = self.lease.release(now)
-            else:
-                if not self.leaving:
-                    self.lease.resume()
-                action = self._tick_lease(now)
-            if action is not None:
-                await self._carry_out(action)
+            if not self.leaving:
+                self.lease.resume()
+            await self._carry_out(self._tick_lease(now))
             self.origins.inherit(self.lease.inherited())
             record = self.lease.observation.record
             if record is not None and record.holder:
@@ -254,7 +252,9 @@
             return None
         return self.lease.tick(now, competes=may_compete)
 
-    async def _carry_out(self, action: LeaseAction) -> None:
+    async def _carry_out(self, action: LeaseAction | None) -> None:
+        if action is None:
+            return
         context = self.context
         await execute_lease_action(
             self.lease, action, context.store, context.clock
@@ -286,6 +286,9 @@
                 self.term = term
                 await term.run()
                 self.term = None
+                if term.ending:
+                    action = self.lease.release(self.context.clock())
+                    await self._carry_out(action)
             await anyio.sleep(_LEASE_CHECK_INTERVAL_SECONDS)
 
     def _deliver(
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 import anyio
 import msgspec
@@ -38,6 +38,7 @@
     AnyPoisonNotice,
     PoisonNotices,
 )
+from cowsliprack.state.engine_state import EngineOrder, EngineState
 from cowsliprack.transport.configuration_copies import (
     ConfigurationCopies,
     Deliver,
@@ -73,6 +74,7 @@
     :param reach_watch: knows the services of which no target is reached.
     :param first_store_limits: see ``RegionState``.
     :param peers: instances that the last leader knew.
+    :ivar ending: whether ``end`` was called.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self._version_ages = version_ages
         self._reach_watch = reach_watch
         self._peers = tuple(peers)
+        self.ending = False
         self._ended = False
         self._plan_due = anyio.Event()
         self._leader_credit = LeaderTokenCredit(context.credit.window)
@@ -126,7 +129,7 @@
         self._executor = OrderExecutor(
             self.state,
             context.engines,
-            self.holds_lease,
+            self.lease_left,
             self._request_plan,
             context.clock,
         )
@@ -137,13 +140,23 @@
         is_same_term = self._lease.fencing == self.state.fencing
         return not self._ended and is_same_term and self._lease.is_leader(now)
 
+    def lease_left(self) -> float:
+        """Return the seconds in which orders may be sent."""
+        if self.ending or not self.holds_lease():
+            return 0
+        return self._lease.held_until() - self._context.clock()
+
     def end(self) -> None:
-        """Send no more orders; the lease is about to be released."""
-        self._ended = True
+        """Send no more orders; ``run`` returns once all sent ones have ended.
+
+        Until then the lease is kept and the members are served.
+        """
+        self.ending = True
+        self._request_plan()
 
     def should_hand_over(self) -> bool:
         """Return whether another instance reaches engines and this one none."""
-        if self._ended or not self._reach_watch.has_lost_engines():
+        if self.ending or not self._reach_watch.has_lost_engines():
             return False
         now = self._context.clock()
         successors = self.state.successors(now)
@@ -157,18 +170,20 @@
         return bool(successors)
 
     async def run(self) -> None:
-        """Lead until the lease is lost or released."""
+        """Lead until the lease is lost or ``end`` was called."""
         _log.info('term_begins', fencing=self.state.fencing)
         async with self._tasks:
             self._announce()
             self._relay_known_notices()
             self.apply_configuration()
-            while self.holds_lease():
-                with anyio.move_on_after(_PLAN_INTERVAL_SECONDS):
+            while not self._has_stopped():
+                left = self._lease.held_until() - self._context.clock()
+                with anyio.move_on_after(min(_PLAN_INTERVAL_SECONDS, left)):
                     await self._plan_due.wait()
                 self._plan_due = anyio.Event()
                 self._plan()
-                await anyio.sleep(self._batch_seconds())
+                left = self._lease.held_until() - self._context.clock()
+                await anyio.sleep(max(min(self._batch_seconds(), left), 0))
             self._ended = True
             self._send_views(to_all=True)
             self._tasks.cancel_scope.cancel()
@@ -236,6 +251,12 @@
         for notice in context.poison.tracker.notices(context.clock()):
             self.relay_notice(notice)
 
+    def _has_stopped(self) -> bool:
+        """Return whether the lease is lost or may be released."""
+        if not self.holds_lease():
+            return True
+        return self.ending and self._executor.has_settled()
+
     def _batch_seconds(self) -> float:
         each = len(self.state.members_by_id) * _BATCH_SECONDS_PER_MEMBER
         return max(_MIN_BATCH_SECONDS, each)
@@ -251,10 +272,9 @@
         self.state.apply_limits(now)
         for suspect in self.state.suspects(now):
             self._tasks.start_soon(self._executor.check_silent, suspect)
-        for service, scheduler in self.state.schedulers_by_service.items():
-            for order in scheduler.plan(self.state.groups(service, now), now):
-                engine = scheduler.engines_by_id[order.target_id]
-                self._tasks.start_soon(self._executor.execute, engine, order)
+        orders = () if self.ending else _plan_orders(self.state, now)
+        for engine, order in orders:
+            self._tasks.start_soon(self._executor.execute, engine, order)
         self._log_missing_weights(now)
         organisations = self._context.table().organisations_by_name.values()
         instances = self.state.member_count(now)
@@ -398,3 +418,12 @@
             ask.number,
         )
         self._deliver(ask.instance_id, '', answer)
+
+
+def _plan_orders(
+    state: RegionState, now: float
+) -> Iterator[tuple[EngineState, EngineOrder]]:
+    """Return the orders that are due, with their engines."""
+    for service, scheduler in state.schedulers_by_service.items():
+        for order in scheduler.plan(state.groups(service, now), now):
+            yield scheduler.engines_by_id[order.target_id], order
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -197,6 +197,7 @@
             record,
             EngineOrder(record.target_id, OrderKind.load, 'm0'),
             OrderPreconditions('g1', 1, 0),
+            lambda: True,
         )
         url = f'http://{record.address}/healthz'
         return (
--- a/tests/steps/order_executor_steps.py
+++ b/tests/steps/order_executor_steps.py
@@ -1,5 +1,6 @@
 """Steps for sending orders to engines."""
 
+import math
 import time
 from types import SimpleNamespace
 
@@ -142,7 +143,7 @@
     return OrderExecutor(
         region,
         engines,
-        holds_lease=lambda: True,
+        lease_left=lambda: math.inf,
         changed=changed,
         clock=time.monotonic,
     )
--- /dev/null
+++ b/tests/transport/region_term.feature
@@ -0,0 +1,35 @@
+Feature: The end of a term
+  Guards against orders of a leader that reach an engine after an order of the
+  next one.
+
+  Scenario Outline: Orders on their way when a term ends by a <end> come before the release
+    Given two instances, of which g1 leads
+    And the engine answers an order after 0.2 seconds
+    When the term of g1 ends by a <end> while the engine has read an order
+    Then the lease is released at most 0.3 seconds after the answer, not before
+
+    Examples:
+      | end          |
+      | hand-over    |
+      | planned stop |
+
+  Scenario Outline: No order is written after a <end>
+    Given two instances, of which g1 leads
+    When the term of g1 ends by a <end> while an order waits for a connection
+    Then the engine gets no order
+    And the lease is released within 0.5 seconds
+
+    Examples:
+      | end          |
+      | hand-over    |
+      | planned stop |
+
+  Scenario Outline: No order is written once <cause> has ended the lease
+    Given two instances, of which g1 leads
+    When <cause> ends the lease of g1 while an order waits for a connection
+    Then the engine gets no order
+
+    Examples:
+      | cause                  |
+      | an outage of the store |
+      | a suspension           |
