--- a/tests/steps/order_executor_steps.py
+++ b/tests/steps/order_executor_steps.py
@@ -1,5 +1,6 @@
 """Steps for sending orders to engines."""
 
+import math
 import time
 from types import SimpleNamespace
 
@@ -142,9 +143,10 @@
     return OrderExecutor(
         region,
         engines,
-        holds_lease=lambda: True,
+        lease_left=lambda: math.inf,
         changed=changed,
         clock=time.monotonic,
+        lease_seconds=3,
     )
 
 
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -34,7 +34,7 @@
     LoadedModel,
     TargetRegistry,
 )
-from cowsliprack.transport.region_term import RegionTerm
+from cowsliprack.transport.region_term import EndReason, RegionTerm
 from tests.support.routed import TABLE, target_record
 
 _NOW = 100.0
@@ -252,6 +252,7 @@
         instance_id='i0',
         address='127.0.0.1:1',
         engines=None,
+        lease_seconds=3,
         credit=SimpleNamespace(window=8),
         fleet=FleetView(),
         freshness=Freshness(5),
@@ -293,12 +294,13 @@
 @when('its term ends beside {others}')
 def when_term_ends(context, others):
     terms = LeaseTerms(Candidate('i0', '', 3, 's'), 0)
-    terms.begin(7, context.now)
+    terms.begin(context.now)
     terms.others_rest = lambda: others == 'instances that rest'
     context.term._lease.terms = terms
     report = replace_fields(_report(1, ()), generation=2)
     context.term.state.apply_report(report, context.now)
-    context.term.end()
+    context.term.end(EndReason.stop)
+    context.term._ended = True
     context.term._send_views(to_all=True)
 
 
--- a/tests/steps/succession_steps.py
+++ b/tests/steps/succession_steps.py
@@ -227,7 +227,7 @@
         state.apply_report(_report(name), context.now)
     context.term = SimpleNamespace(
         state=state,
-        _ended=False,
+        ending=False,
         _past_leaders=past_leaders,
         _has_logged_resting=False,
         _lease=SimpleNamespace(
