Send an order to a silent engine again only once it answers a survey

Every copy stays readable in the engine's socket and may be read after the next leader's orders; the last copy also puts off the release of the lease.

While an engine is silent, it is only surveyed, at the same interval. One copy at most is unread then.

An engine that answers again gets its order no later than before: a survey waits on it in place of an order.

--- a/cowsliprack/transport/order_executor.py
+++ b/cowsliprack/transport/order_executor.py
@@ -214,14 +214,18 @@
         """Send an order until its result is known.
 
         A retry repeats the same order, so that an earlier attempt that is
-        executed late has no unplanned effect.
+        executed late has no unplanned effect. A silent engine gets none before
+        it answers a survey, since it may read every copy later.
         """
         attempts = _OrderAttempts()
         while self.is_current(engine) and self.lease_left() > 0:
-            answer = await self._send_once(engine, order)
-            resolved = await self._resolve_answer(
-                engine, order, answer, attempts
-            )
+            if engine.silent:
+                resolved = await self._check_result(engine, order)
+            else:
+                answer = await self._send_once(engine, order)
+                resolved = await self._resolve_answer(
+                    engine, order, answer, attempts
+                )
             if resolved is not None:
                 return resolved
             await anyio.sleep(
--- a/tests/steps/order_executor_steps.py
+++ b/tests/steps/order_executor_steps.py
@@ -16,12 +16,17 @@
 from cowsliprack.state.engine_state import EngineOrder, EngineState
 from cowsliprack.state.routing_table import EngineSpec, ModelSpec
 from cowsliprack.state.target_registry import LoadedModel
+from cowsliprack.transport.checked_transport import CheckedTransport
 from cowsliprack.transport.order_executor import OrderExecutor
+from tests.support.held_engine import HeldEngine
 from tests.support.routed import target_record
 from tools.standins.objects import ObjectStoreServer
 from tools.standins.route_engine import RouteEngine
 from tools.standins.web import bind, serve_on
 
+# Time in which the engine reads all that has arrived.
+_SETTLE_SECONDS = 1.5
+
 
 @given('an engine that holds model {model:w} with adapter {adapter:w}')
 def given_engine(context, model, adapter):
@@ -198,3 +203,42 @@
 @then('it is usable: no, yes')
 def then_usable_again(context):
     assert context.usable == [False, True], context.usable
+
+
+@given('an engine that reads nothing for {seconds:g} seconds')
+def given_held(context, seconds):
+    context.held_seconds = seconds
+
+
+@when('the executor loads model {model:w} on it')
+def when_loaded(context, model):
+    anyio.run(_load, context, model)
+
+
+async def _load(context, model):
+    context.engine = HeldEngine((model,))
+    context.engine.held_until = time.monotonic() + context.held_seconds
+    state = EngineState(
+        target_record('e1', address=context.engine.address), surveyed=True
+    )
+    async with (
+        anyio.create_task_group() as tasks,
+        httpx.AsyncClient(transport=CheckedTransport()) as client,
+    ):
+        tasks.start_soon(context.engine.run)
+        executor = _executor(EngineClient(client), state, SimpleNamespace)
+        order = EngineOrder('e1', OrderKind.load, model)
+        with anyio.fail_after(context.held_seconds + _SETTLE_SECONDS):
+            await executor.execute(state, order)
+        await anyio.sleep(_SETTLE_SECONDS)
+        tasks.cancel_scope.cancel()
+
+
+@then(
+    'the engine has read at most {before:d} order sent before it went on and '
+    '{after:d} after'
+)
+def then_few(context, before, after):
+    assert 1 <= len(context.engine.orders) <= before + after, (
+        context.engine.orders
+    )
--- a/tests/transport/order_executor.feature
+++ b/tests/transport/order_executor.feature
@@ -20,3 +20,8 @@
     And it does not answer for 0.4 seconds
     When the executor checks whether it answers
     Then it is usable: no, yes
+
+  Scenario: An engine that reads nothing for 3 seconds gets few copies of an order
+    Given an engine that reads nothing for 3 seconds
+    When the executor loads model m0 on it
+    Then the engine has read at most 1 order sent before it went on and 1 after
