Drop the bytes of an order that is given up

While the way to an engine is cut, an order that was written to an open connection waits there until the cut ends.

The connection of an order that gets no answer is now reset (SO_LINGER 0), which drops these bytes. Requests of callers are closed as before.

Evidence, tests/transport/order_executor.feature: an engine with little room that reads nothing for 0.6 s; the order is given up after 0.3 s. Before this change the engine read the whole order afterwards, now it reads none. A cut of the network itself was not played here, which needs rights that the tests do not have.

--- a/cowsliprack/platform/engine_client.py
+++ b/cowsliprack/platform/engine_client.py
@@ -95,7 +95,10 @@
                     '/-/order',
                     record,
                     content,
-                    {'trace': partial(_check_lease, may_send)},
+                    {
+                        'trace': partial(_check_lease, may_send),
+                        'discards': True,
+                    },
                 )
         except (httpx.HTTPError, TimeoutError) as failure:
             _log.warning(
--- a/cowsliprack/transport/checked_transport.py
+++ b/cowsliprack/transport/checked_transport.py
@@ -7,6 +7,7 @@
 
 import select
 import socket
+import struct
 import time
 from collections import deque
 from collections.abc import AsyncIterator, Callable
@@ -36,6 +37,8 @@
 # Closes connections whose bytes stay unacknowledged, since a host that has
 # disappeared sends no reset.
 _TCP_USER_TIMEOUT_MS = 4000
+# SO_LINGER (on, 0 seconds): the connection is reset when it is closed.
+_DISCARD = struct.pack('ii', 1, 0)
 _KEEP_ALIVE = b'keep-alive'
 _CONNECTION_ERRORS = (
     OSError,
@@ -52,12 +55,14 @@
     """Connection and the state of its HTTP protocol.
 
     :param used_until: time after which it is not reused, seconds.
+    :param discards: whether bytes still to be sent are dropped with it.
     """
 
     address: tuple[str, int]
     stream: SocketStream
     protocol: h11.Connection
     used_until: float = 0
+    discards: bool = False
 
     async def send(self, request: httpx.Request) -> None:
         """Write a whole request."""
@@ -96,6 +101,9 @@
 
     async def abort(self) -> None:
         """Close at once, so that the target can cancel the request."""
+        if self.discards:
+            raw = self.stream.extra(SocketAttribute.raw_socket)  # noqa: S610
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD)
         await anyio.aclose_forcefully(self.stream)
 
 
@@ -140,7 +148,9 @@
     """HTTPX transport with a pool of connections by address.
 
     The request extension ``trace`` is called before the first byte is sent;
-    the extension ``fresh`` requests a new connection.
+    the extension ``fresh`` requests a new connection. With ``discards``, bytes
+    of a request that is given up are not sent any more; otherwise the kernel
+    sends them for some seconds after the connection was closed.
 
     :param clock: monotonic time, seconds.
     :param opened: number of connections opened so far.
@@ -169,6 +179,7 @@
         address = (request.url.host, request.url.port or 80)
         await self._sweep()
         connection = await self._connect(address, request)
+        connection.discards = request.extensions.get('discards', False)
         try:
             return await self._exchange(connection, request)
         except (h11.RemoteProtocolError, h11.LocalProtocolError) as error:
--- a/tests/steps/order_executor_steps.py
+++ b/tests/steps/order_executor_steps.py
@@ -11,7 +11,11 @@
 from cowsliprack.coordination.model_scheduler import ModelScheduler
 from cowsliprack.coordination.region_state import RegionState
 from cowsliprack.platform.engine_client import EngineClient
-from cowsliprack.protocol.engine import EngineSurvey
+from cowsliprack.protocol.engine import (
+    EngineSurvey,
+    OrderAnswer,
+    OrderPreconditions,
+)
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder, EngineState
 from cowsliprack.state.routing_table import EngineSpec, ModelSpec
@@ -242,3 +246,33 @@
     assert 1 <= len(context.engine.orders) <= before + after, (
         context.engine.orders
     )
+
+
+@when('an order of {size:d} bytes is sent to it, which has room for {room:d}')
+def when_sent(context, size, room):
+    anyio.run(_send_large, context, size, room)
+
+
+async def _send_large(context, size, room):
+    context.engine = HeldEngine((), room=room)
+    context.engine.held_until = time.monotonic() + context.held_seconds
+    record = target_record('e1', address=context.engine.address)
+    async with (
+        anyio.create_task_group() as tasks,
+        httpx.AsyncClient(transport=CheckedTransport()) as client,
+    ):
+        tasks.start_soon(context.engine.run)
+        answer = await EngineClient(client).send_order(
+            record,
+            EngineOrder('e1', OrderKind.load, 'm' * size),
+            OrderPreconditions('g1', 1, 0),
+            lambda: True,
+        )
+        assert answer is OrderAnswer.unknown, answer
+        await anyio.sleep(context.held_seconds + _SETTLE_SECONDS)
+        tasks.cancel_scope.cancel()
+
+
+@then('the engine has read no order')
+def then_none(context):
+    assert not context.engine.orders, context.engine.orders
--- a/tests/support/held_engine.py
+++ b/tests/support/held_engine.py
@@ -21,9 +21,10 @@
 
     :param models: names of the models that it holds.
     :param answer_seconds: time between reading an order and its answer.
+    :param room: bytes that the kernel keeps for a connection.
     """
 
-    def __init__(self, models, answer_seconds=0):
+    def __init__(self, models, answer_seconds=0, room=None):
         self.answer_seconds = answer_seconds
         # Time of reading, holder and model of each order.
         self.orders = []
@@ -33,6 +34,8 @@
         self._bytes_by_socket = {}
         self._listener = socket.create_server(('127.0.0.1', 0), backlog=64)
         self._listener.setblocking(False)
+        if room is not None:
+            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
         self.address = f'127.0.0.1:{self._listener.getsockname()[1]}'
 
     async def run(self):
--- a/tests/transport/order_executor.feature
+++ b/tests/transport/order_executor.feature
@@ -25,3 +25,8 @@
     Given an engine that reads nothing for 3 seconds
     When the executor loads model m0 on it
     Then the engine has read at most 1 order sent before it went on and 1 after
+
+  Scenario: An order that was given up is not sent on
+    Given an engine that reads nothing for 0.6 seconds
+    When an order of 60000 bytes is sent to it, which has room for 4096
+    Then the engine has read no order
