Pause orders before a hand-over and go on if engines answer again

Callers saw no orders for up to a lease: with the orders on their way a hand-over waits, but the term had been ended and could not go on, although engines that fall silent for a second answer again before. A leader then handed over for nothing, which is also what brings leaders to take turns.

Now the orders pause while the leader reaches no engine and another instance does. It hands over once the orders on their way have ended, and goes on if an engine is reached again before. In region_term.feature an engine reads nothing for 1.2 s: the leader keeps its term and orders again; before it released the lease.

--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -124,6 +124,8 @@
         self._past_leaders = past_leaders
         self._has_logged_resting = False
         self.ending = False
+        # Orders pause before a hand-over.
+        self._pauses_orders = False
         self._ended = False
         self._end_reason: EndReason | None = None
         self._unanswered_orders = 0
@@ -174,7 +176,7 @@
 
     def lease_left(self) -> float:
         """Return the seconds in which orders may be sent."""
-        if self.ending or not self.holds_lease():
+        if self._pauses_orders or self.ending or not self.holds_lease():
             return 0
         return self._lease.held_until() - self._context.clock()
 
@@ -195,25 +197,39 @@
         """Return whether another instance reaches engines and this one none.
 
         The other one must be able to lead at once: one that has led shortly
-        before rests first, and nobody would lead meanwhile.
+        before rests first, and nobody would lead meanwhile. Orders pause until
+        those on their way have ended. If an engine is reached again before,
+        the term goes on.
         """
-        if self.ending or not self._reach_watch.has_lost_engines():
+        if self.ending:
             return False
+        successors = self._successors()
+        if bool(successors) != self._pauses_orders:
+            self._pauses_orders = bool(successors)
+            _log.info('orders_paused', paused=self._pauses_orders)
+            self._request_plan()
+        if not successors or not self._executor.has_settled():
+            return False
+        log_decision(
+            'hand_over',
+            successors[:_MAX_LOGGED_NAMES],
+            'this leader reaches no engine, other instances do',
+            fencing=self.state.fencing,
+        )
+        return True
+
+    def _successors(self) -> list[str]:
+        """Return the instances to hand over to; none while that is not due."""
         now = self._context.clock()
+        if not self._reach_watch.has_lost_engines():
+            return []
         if now < self._lease.terms.kept_until():
-            return False
+            return []
         oldest = now - rest_seconds(self._context.lease_seconds)
         resting = self._past_leaders.ended_after(oldest)
         others = self.state.successors(now)
         successors = [one for one in others if one not in resting]
-        if successors:
-            log_decision(
-                'hand_over',
-                successors[:_MAX_LOGGED_NAMES],
-                'this leader reaches no engine, other instances do',
-                fencing=self.state.fencing,
-            )
-        elif others and not self._has_logged_resting:
+        if others and not successors and not self._has_logged_resting:
             self._has_logged_resting = True
             log_decision(
                 'no_hand_over',
@@ -221,7 +237,7 @@
                 'this leader reaches no engine; those that do have just led',
                 fencing=self.state.fencing,
             )
-        return bool(successors)
+        return successors
 
     async def run(self, since_last_term: float | None) -> None:
         """Lead until the lease is lost or ``end`` was called.
@@ -247,7 +263,8 @@
                 self._plan_due = anyio.Event()
                 self._plan()
                 left = self._lease.held_until() - self._context.clock()
-                await anyio.sleep(max(min(self._batch_seconds(), left), 0))
+                batch = _batch_seconds(len(self.state.members_by_id))
+                await anyio.sleep(max(min(batch, left), 0))
             if not self.ending:
                 now = self._context.clock()
                 self._end_reason = _loss_reason(
@@ -332,10 +349,6 @@
             return True
         return self.ending and self._executor.has_settled()
 
-    def _batch_seconds(self) -> float:
-        each = len(self.state.members_by_id) * _BATCH_SECONDS_PER_MEMBER
-        return max(_MIN_BATCH_SECONDS, each)
-
     def _request_plan(self) -> None:
         self._plan_due.set()
 
@@ -347,7 +360,8 @@
         self.state.apply_limits(now)
         for suspect in self.state.suspects(now):
             self._tasks.start_soon(self._executor.check_silent, suspect)
-        orders = () if self.ending else _plan_orders(self.state, now)
+        may_order = self.lease_left() > 0
+        orders = _plan_orders(self.state, now) if may_order else ()
         for engine, order in orders:
             self._tasks.start_soon(self._executor.execute, engine, order)
         self._log_missing_weights(now)
@@ -497,6 +511,10 @@
         self._deliver(ask.instance_id, '', answer)
 
 
+def _batch_seconds(members: int) -> float:
+    return max(_MIN_BATCH_SECONDS, members * _BATCH_SECONDS_PER_MEMBER)
+
+
 def _plan_orders(
     state: RegionState, now: float
 ) -> Iterator[tuple[EngineState, EngineOrder]]:
--- a/tests/steps/region_term_steps.py
+++ b/tests/steps/region_term_steps.py
@@ -162,3 +162,47 @@
 def then_both(context):
     holders = {holder for _, holder, _ in context.world.engine.orders}
     assert holders == {'g1', 'g2'}, context.world.engine.orders
+
+
+@when(
+    'the engine reads nothing for {held:g} seconds, and g1 reaches no engine '
+    'from {lost:g} to {regained:g} seconds after an order'
+)
+def when_silent(context, held, lost, regained):
+    async def script(world):
+        await world.until_led()
+        term = world.regions_by_id['g1'].term
+        world.engine.held_until = time.monotonic() + held
+        world.order('g1', 'm0')
+        await anyio.sleep(lost)
+        world.cut_off.add('g1')
+        await world.until(lambda: not term.lease_left())
+        context.paused_at = time.monotonic()
+        await anyio.sleep(regained - lost)
+        world.cut_off.remove('g1')
+        context.regained_at = time.monotonic()
+        await anyio.sleep(_SETTLE_SECONDS)
+        context.kept_term = world.regions_by_id['g1'].term is term
+        await world.until(lambda: world.is_ready('g1'))
+        world.order('g1', 'm1')
+        await anyio.sleep(_SETTLE_SECONDS)
+
+    _run(context, script)
+
+
+@then(
+    'g1 still leads with its first term, and gave no order while it reached no '
+    'engine'
+)
+def then_kept(context):
+    assert context.kept_term
+    assert not context.world.store.released_at
+    orders = context.world.engine.orders
+    # An order from before the pause may be read when the engine goes on.
+    assert all(holder == 'g1' for _, holder, _ in orders), orders
+
+
+@then('g1 orders again')
+def then_orders_again(context):
+    orders = context.world.engine.orders
+    assert any(at > context.regained_at for at, _, _ in orders), orders
--- a/tests/steps/succession_steps.py
+++ b/tests/steps/succession_steps.py
@@ -228,6 +228,10 @@
     context.term = SimpleNamespace(
         state=state,
         ending=False,
+        _successors=lambda: RegionTerm._successors(context.term),
+        _pauses_orders=False,
+        _executor=SimpleNamespace(has_settled=lambda: True),
+        _request_plan=lambda: None,
         _past_leaders=past_leaders,
         _has_logged_resting=False,
         _lease=SimpleNamespace(
--- a/tests/transport/region_term.feature
+++ b/tests/transport/region_term.feature
@@ -44,3 +44,10 @@
       | end          | pause |
       | hand-over    | 0.9   |
       | planned stop | 0.9   |
+
+  # Engines that fall silent for a moment must not end the term.
+  Scenario: A term goes on if engines answer again before an order without an answer is settled
+    Given two instances, of which g1 leads
+    When the engine reads nothing for 1.2 seconds, and g1 reaches no engine from 0.4 to 1.2 seconds after an order
+    Then g1 still leads with its first term, and gave no order while it reached no engine
+    And g1 orders again
