Take an answer with a status outside the protocol for no answer

Cause: h11 takes three digits from 200 to 999 for the status of a final response, and nothing behind it looked at the number again. The same held for the callers' interface (forward.py, over httpcore), for the recorded answer of a keyed request, which was replayed with any number, and for the answer of another instance, which may be of a build that still passes 600 on. Ruled out: the store and orders, whose unknown statuses count as unavailable and in doubt; two, four or other than digits, signs, letters, 101 and interim responses without end, which h11 or the bound of eight interim responses refuse.

Change: the transport of the gateway and the client of the callers' interface treat a head with a status outside 200 to 599 like any other malformed head: the connection is closed, the request may have run, and it is repeated elsewhere where that is allowed. A health check with such a head has not reached its target, as with 000. Exchange.start_raw, through which each status leaves the process, refuses it with 502 before a byte is sent; that covers records and other instances.

--- a/cowsliprack/transport/checked_transport.py
+++ b/cowsliprack/transport/checked_transport.py
@@ -17,6 +17,7 @@
 import httpx
 from anyio.abc import SocketAttribute, SocketStream
 
+from cowsliprack.transport.final_status import is_final_status
 from cowsliprack.transport.running_time import RunningTime
 
 # Instances and targets are milliseconds apart. The kernel retransmits a lost
@@ -262,6 +263,10 @@
             raise httpx.ReadError(
                 'the connection ended without a final response'
             )
+        if not is_final_status(event.status_code):
+            raise httpx.RemoteProtocolError(
+                f'the response has the status {event.status_code}'
+            )
         connection.used_until = self.clock() + _idle_seconds(event)
         return httpx.Response(
             event.status_code,
--- a/cowsliprack/transport/exchange.py
+++ b/cowsliprack/transport/exchange.py
@@ -10,6 +10,7 @@
 from cowsliprack.exceptions import ErrorKind, ServingError
 from cowsliprack.protocol.credentials import HeaderList
 from cowsliprack.protocol.sse import error_body
+from cowsliprack.transport.final_status import is_final_status
 
 AsgiMessage = dict[str, Any]
 Receive = Callable[[], Awaitable[AsgiMessage]]
@@ -104,7 +105,14 @@
 
         :param status: HTTP status.
         :param headers: names in lower case, and values.
+        :raises ServingError: ``target_failed``, without sending, as no response
+            may have the status.
         """
+        # Other instances, also of earlier builds, and records state it too.
+        if not is_final_status(status):
+            raise ServingError(
+                ErrorKind.target_failed, f'the answer has the status {status}'
+            )
         self.started = True
         self.status = status
         if self.should_close():
--- a/cowsliprack/transport/target_client.py
+++ b/cowsliprack/transport/target_client.py
@@ -14,6 +14,7 @@
 from cowsliprack.exceptions import Ran, TargetError
 from cowsliprack.protocol.target import Order, OrderOutcome, TargetReport
 from cowsliprack.transport.bounded_body import MAX_REPORT_BYTES, read_body
+from cowsliprack.transport.final_status import is_final_status
 from cowsliprack.transport.probe import is_connection_refused
 
 # A dead host is detected by the short connect timeout; a target that was
@@ -261,6 +262,7 @@
         # All callers share the client: a cookie that a target sets for one of
         # them must not be sent with the requests of another.
         cookies=CookieJar(DefaultCookiePolicy(allowed_domains=())),
+        event_hooks={'response': [_require_final_status]},
         transport=httpx.AsyncHTTPTransport(
             trust_env=False,
             socket_options=_SOCKET_OPTIONS,
@@ -273,6 +275,13 @@
     )
 
 
+async def _require_final_status(answer: httpx.Response) -> None:
+    if not is_final_status(answer.status_code):
+        raise httpx.RemoteProtocolError(
+            f'the answer has the status {answer.status_code}'
+        )
+
+
 def _parse_outcome(body: bytes) -> OrderOutcome:
     try:
         return msgspec.json.decode(body, type=_OrderAnswer).outcome
--- a/tests/platform/gateway.feature
+++ b/tests/platform/gateway.feature
@@ -73,6 +73,18 @@
       | unsafe     | an order | 502    | once       |
       | safe       | a lookup | 502    | at 2 targets |
 
+  Scenario Outline: A response with a status outside the protocol never reaches a caller: <kind>
+    Given the next response of each service has the status <sent>
+    When a caller sends <request> to g1
+    Then the response is <status>
+    And it was run <runs>
+
+    Examples:
+      | kind         | sent | request  | status | runs         |
+      | unsafe, 600  | 600  | an order | 502    | once         |
+      | safe, 600    | 600  | a lookup | 502    | at 2 targets |
+      | unsafe, 999  | 999  | an order | 502    | once         |
+
   Scenario: A request that a target refused without running it is sent again
     Given the next request of each service is refused without running it
     When a caller sends a lookup to g1
--- a/tests/steps/forward_steps.py
+++ b/tests/steps/forward_steps.py
@@ -65,8 +65,9 @@
 
 
 def _outcome(answer):
-    if answer.status_code == 200:
-        return '200'
+    # Errors of the server itself have no status above 504.
+    if answer.status_code == 200 or answer.status_code > 504:
+        return str(answer.status_code)
     error = answer.json()['error']
     return f'{error["kind"]}, {error["ran"]}'
 
@@ -334,6 +335,17 @@
     context.outcomes.append(_keyed_outcome(_send_keyed(context)))
 
 
+@when(
+    'a keyed order is sent, and repeated after its record got the status '
+    '{status:d}'
+)
+def when_recorded(context, status):
+    context.outcomes = [_keyed_outcome(_send_keyed(context))]
+    (stored,) = context.store.objects_by_key.values()
+    stored.body['status'] = status
+    context.outcomes.append(_keyed_outcome(_send_keyed(context)))
+
+
 def _disconnect_early(context):
     headers = {'idempotency-key': 'k1'}
     try:
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -288,6 +288,12 @@
         context.cluster.engines[name].faults.wrong_request_ids = 1
 
 
+@given('the next response of each service has the status {status:d}')
+def given_status(context, status):
+    for name in ('s1', 's2'):
+        context.cluster.engines[name].faults.statuses.append(status)
+
+
 @given('the next request of each service is refused without running it')
 def given_refused(context):
     context.cluster.engines['s1'].faults.refused_requests = 1
--- a/tests/steps/request_passing_steps.py
+++ b/tests/steps/request_passing_steps.py
@@ -6,9 +6,10 @@
 import anyio
 from behave import given, then, when
 
-from cowsliprack.exceptions import ServingError
+from cowsliprack.exceptions import Ran, ServingError
 from cowsliprack.protocol.gateway_messages import (
     PassCancelled,
+    PassedPart,
     PassedRequest,
     PassOffer,
     PassReply,
@@ -109,6 +110,55 @@
     anyio.run(pass_two)
 
 
+@given(
+    'an instance that reaches no target, and another one that answers with '
+    'the status {status:d}'
+)
+def given_answering(context, status):
+    def deliver(_instance_id, _address, message):
+        if isinstance(message, PassOffer):
+            reply = PassReply('i1', message.number, True)
+            context.passing.handle(reply)
+        if isinstance(message, PassedRequest):
+            part = PassedPart(
+                'i1', message.number, 0, status, (), b'body', is_last=True
+            )
+            context.passing.handle(part)
+        return True
+
+    peers = (PeerView('i1', '', 'z', 'b1'),)
+    context.passing = _passing(deliver, peers)
+
+
+@when('a request is passed on')
+def when_passed(context):
+    context.outcome = anyio.run(_pass_on, context.passing)
+
+
+async def _pass_on(passing):
+    messages = []
+
+    async def send(message):
+        messages.append(message)
+
+    exchange = Exchange('GET', '/x', '/x', b'', [], None, send)
+    request = routed_request(
+        '/stock/1', 'shop', time.monotonic(), 5, exchange=exchange
+    )
+    try:
+        await passing.pass_on(request)
+    except ServingError as error:
+        assert error.ran is Ran.may_have_run, error.ran
+        assert not messages, messages
+        return error.kind.value
+    return str(messages[0]['status'])
+
+
+@then('the caller of the passed request gets {outcome}')
+def then_outcome(context, outcome):
+    assert context.outcome == outcome, context.outcome
+
+
 @then('the second request is passed on')
 def then_passed(context):
     assert len(context.offers) == 2, context.offers
--- a/tests/steps/route_streams_steps.py
+++ b/tests/steps/route_streams_steps.py
@@ -140,6 +140,10 @@
     '400 and not run': b'HTTP/1.1 400 X\r\nx-not-run: 1',
     '200 and a text': b'HTTP/1.1 200 OK',
     'a head that is no HTTP': b'data: HTTP/1.1 200 OK',
+    '600 and a text': b'HTTP/1.1 600 X',
+    '000 and a text': b'HTTP/1.1 000 X',
+    '20 and a text': b'HTTP/1.1 20 X',
+    '-200 and a text': b'HTTP/1.1 -200 X',
 }
 
 
@@ -168,6 +172,42 @@
     context.add_cleanup(context.engine.listener.close)
 
 
+class _StatusEngine(_Engine):
+    """Engine whose first answer has another status; the second one is whole.
+
+    :ivar end: the status.
+    :ivar broken: further header lines of the first answer.
+    """
+
+    def _answer(self, connection):
+        self.heads.append(connection.recv(65536))
+        is_first = len(self.heads) == 1
+        connection.sendall(
+            b'HTTP/1.1 %s X\r\nx-attempt-id: id\r\ncontent-length: %d\r\n'
+            b'connection: close\r\n%s\r\n%s'
+            % (
+                self.end.encode() if is_first else b'200',
+                len(_ANSWER),
+                self.broken if is_first else b'',
+                _ANSWER,
+            )
+        )
+
+
+@given('an engine whose first answer has the status {status:w}')
+def given_status(context, status):
+    context.engine = _StatusEngine(status, b'', b'')
+    context.add_cleanup(context.engine.listener.close)
+
+
+@given(
+    'an engine whose first answer has the status {status:w} and says "not run"'
+)
+def given_status_not_run(context, status):
+    context.engine = _StatusEngine(status, b'x-not-run: 1\r\n', b'')
+    context.add_cleanup(context.engine.listener.close)
+
+
 class _EndingEngine(_Engine):
     """Engine whose process may end with the connection of its answer."""
 
--- a/tests/support/raw_target.py
+++ b/tests/support/raw_target.py
@@ -163,8 +163,11 @@
             return False
         if behaviour.startswith('stream '):
             last_number = int(_header(head, b'last-event-id') or -1)
+            status, script = '200', behaviour.removeprefix('stream ')
+            if script.startswith('with status '):
+                status, _, script = script[12:].partition(' ')
             return self._stream(
-                connection, behaviour[7:], request_id, last_number
+                connection, script, request_id, last_number, status
             )
         answer = {'id': request_id, 'target': self.target_id}
         if behaviour == 'wrong id':
@@ -184,6 +187,8 @@
             connection.sendall(http_response(refusal, status=503))
             return True
         raw_answer = http_response(json.dumps(answer).encode())
+        if behaviour.startswith('status '):
+            raw_answer = _with_status(raw_answer, behaviour[7:])
         if behaviour == 'set cookie':
             raw_answer = raw_answer.replace(
                 b'\r\n', b'\r\nset-cookie: sid=1; path=/\r\n', 1
@@ -198,14 +203,17 @@
         self._reused = connection
         return is_reused
 
-    def _stream(self, connection, script, request_id, last_number):
+    def _stream(
+        self, connection, script, request_id, last_number, status='200'
+    ):
         """Send an event stream and return whether the connection stays open.
 
         :param script: N for event N, xN for event N of another request, END
             for the end marker, or RESET, CLOSE or SILENT.
         :param last_number: number of the last event that the client has.
+        :param status: of the response.
         """
-        connection.sendall(_STREAM_HEADERS)
+        connection.sendall(_with_status(_STREAM_HEADERS, status))
         for word in script.split():
             if word == 'RESET':
                 return _reset(connection)
@@ -222,6 +230,10 @@
         return True
 
 
+def _with_status(response, status):
+    return response.replace(b'200', status.encode(), 1)
+
+
 def _stream_event(word, request_id):
     if word == 'END':
         return b'data: [DONE]\n\n'
--- a/tests/transport/checked_transport.feature
+++ b/tests/transport/checked_transport.feature
@@ -29,6 +29,90 @@
       | ends in the middle of a chunk |
       | is not HTTP                |
       | never begins               |
+      | ends after an interim head |
+
+  Scenario Outline: A response with the status <status> is an error
+    Given a server whose first response has the status <status>
+    When two requests are sent one after the other
+    Then the first fails and its bytes count as sent
+    And the second gets its own response
+    And 2 connections were opened
+
+    Examples: a number outside the protocol
+      | status |
+      | 000    |
+      | 001    |
+      | 099    |
+      | 600    |
+      | 601    |
+      | 999    |
+
+    Examples: not three digits
+      | status |
+      | none   |
+      | 2      |
+      | 20     |
+      | 2000   |
+      | +20    |
+      | -20    |
+      | +200   |
+      | -200   |
+      | 2x0    |
+      | abc    |
+      | 0x1    |
+      | 2.0    |
+
+    Examples: a change of the protocol that was not requested
+      | status |
+      | 101    |
+
+  Scenario Outline: A response with the status <status> is returned
+    Given a server whose first response has the status <status>
+    When two requests are sent one after the other
+    Then the first is returned with the status <status>
+    And the second gets its own response
+    And 1 connections were opened
+
+    Examples:
+      | status |
+      | 200    |
+      | 299    |
+      | 451    |
+      | 499    |
+      | 500    |
+      | 599    |
+
+  Scenario Outline: The body of a response <status> to <method>, where none is due, reaches nobody
+    Given a server whose first response has the status <status>
+    When a request with the method <method> is sent, and then another one
+    Then the first is returned with the status <status>
+    And the second gets its own response
+    And 2 connections were opened
+
+    Examples:
+      | method | status |
+      | GET    | 204    |
+      | GET    | 304    |
+      | HEAD   | 200    |
+      | HEAD   | 404    |
+
+  Scenario Outline: What an answer with the status <status> says of a target
+    Given a server whose first response has the status <status>
+    When <call> gets that response
+    Then the call ends as "<result>"
+
+    Examples:
+      | call           | status | result      |
+      | an order       | 600    | unknown     |
+      | an order       | 000    | unknown     |
+      | an order       | -20    | unknown     |
+      | a survey       | 600    | no report   |
+      | a survey       | 000    | no report   |
+      | a health check | 600    | not reached |
+      | a health check | 000    | not reached |
+      | a health check | 503    | reached     |
+      | a store read   | 600    | unavailable |
+      | a store write  | 600    | unavailable |
 
   Scenario: A response without a length ends with its connection
     Given a server whose response has no length
--- a/tests/transport/forward.feature
+++ b/tests/transport/forward.feature
@@ -26,6 +26,17 @@
       | silent; answer                 | target_failed, may have run |
       | refuse; answer                 | target_unreachable, not run |
       | own id                         | 200                         |
+      | status 599                     | 599                         |
+      | status 600; answer             | target_failed, may have run |
+      | status 999; answer             | target_failed, may have run |
+      | status 000; answer             | target_failed, may have run |
+      | status 099; answer             | target_failed, may have run |
+      | status 101; answer             | target_failed, may have run |
+      | status 199; answer             | target_failed, may have run |
+      | status 20; answer              | target_failed, may have run |
+      | status 2000; answer            | target_failed, may have run |
+      | status -20; answer             | target_failed, may have run |
+      | status 2x0; answer             | target_failed, may have run |
 
   Scenario: An order goes to another service when one is unreachable
     Given services of which the first is unreachable
@@ -46,7 +57,10 @@
       | truncated body; answer   | 200                         |
       | reset after body; answer | 200                         |
       | refuse; answer           | 200                         |
+      | status 600; answer       | 200                         |
+      | status 000; answer       | 200                         |
       | wrong id                 | target_failed, may have run |
+      | status 600               | target_failed, may have run |
       | truncated body           | target_failed, may have run |
 
   Scenario: A duplicated answer does not reach the next caller
@@ -76,6 +90,11 @@
       | stream 0 2 END; stream 0 1 2 END       | w0 w1 w2 | the end marker |
       | reset after first byte; stream 0 1 END | w0 w1    | the end marker |
       | stream x0 x1 END; stream 0 1 END       | w0 w1    | the end marker |
+      | status 600; stream 0 1 END             | w0 w1    | the end marker |
+      | stream with status 600 x0 END; stream 0 1 END         | w0 w1 | the end marker |
+      | stream 0 1 RESET; stream with status 600 0 1 2 END    | w0 w1 | stream_broken  |
+      | stream 0 1 RESET; status 600           | w0 w1    | stream_broken  |
+      | stream with status 600 0 1 END         |          | target_failed  |
       | stream 0 1 RESET                       | w0 w1    | stream_broken  |
       | stream 0 1 CLOSE                       | w0 w1    | stream_broken  |
       | stream 0 1                             | w0 w1    | stream_broken  |
@@ -172,3 +191,22 @@
       | the target resets the connection         | reset after body; answer | ok       | target_failed; duplicate_in_progress |
       | the target refuses, then accepts it      | refuse; answer           | ok       | target_unreachable; 200              |
       | the caller disconnects before the answer | slow; answer             | ok       | disconnected; 200 replayed           |
+      | the answer has the status 600            | status 600; answer       | ok       | target_failed; duplicate_in_progress |
+
+  # An earlier build has recorded such an answer.
+  Scenario Outline: An answer that is recorded with the status <status> is not replayed
+    Given services with the behaviours: answer
+    When a keyed order is sent, and repeated after its record got the status <status>
+    Then the two answers are "<answers>"
+    And the services received the order at most once
+
+    Examples:
+      | status | answers            |
+      | 0      | 200; target_failed |
+      | 99     | 200; target_failed |
+      | 101    | 200; target_failed |
+      | 600    | 200; target_failed |
+      | 999    | 200; target_failed |
+      | -200   | 200; target_failed |
+      | 200    | 200; 200 replayed  |
+      | 599    | 200; 599 replayed  |
--- a/tests/transport/request_passing.feature
+++ b/tests/transport/request_passing.feature
@@ -23,5 +23,22 @@
     When the first of 2 offers gets no answer
     Then the second request is passed on
 
+  # An earlier build passes such an answer of its target on.
+  Scenario Outline: An answer of another instance with the status <status>
+    Given an instance that reaches no target, and another one that answers with the status <status>
+    When a request is passed on
+    Then the caller of the passed request gets <outcome>
+
+    Examples:
+      | status | outcome       |
+      | 0      | target_failed |
+      | 99     | target_failed |
+      | 101    | target_failed |
+      | 600    | target_failed |
+      | 999    | target_failed |
+      | -200   | target_failed |
+      | 200    | 200           |
+      | 599    | 599           |
+
   Scenario: A restarted instance does not use the numbers of its last process
     Then two processes of an instance begin with different numbers
--- a/tests/transport/route_streams.feature
+++ b/tests/transport/route_streams.feature
@@ -59,6 +59,33 @@
       | 400 and not run        |
       | 200 and a text         |
       | a head that is no HTTP |
+      | 600 and a text         |
+      | 000 and a text         |
+      | 20 and a text          |
+      | -200 and a text        |
+
+  Scenario Outline: An engine answers with the status <status>, on <path>
+    Given an engine whose first answer has the status <status>
+    When a caller asks for an answer at <path>
+    Then the outcome is <outcome>
+    And the engine got <count> requests
+
+    Examples:
+      | status | path     | outcome          | count |
+      | 600    | /order/  | target_failed    | 1     |
+      | 600    | /stock/  | the whole answer | 2     |
+      | 600    | /report/ | target_failed    | 1     |
+      | 999    | /order/  | target_failed    | 1     |
+      | 000    | /order/  | target_failed    | 1     |
+      | 000    | /stock/  | the whole answer | 2     |
+      | 199    | /order/  | target_failed    | 1     |
+
+  # Only the head says that it has not run, and that is no head.
+  Scenario: An order is not sent again after the status 600 with "not run"
+    Given an engine whose first answer has the status 600 and says "not run"
+    When a caller asks for an answer at /order/
+    Then the outcome is target_failed
+    And the engine got 1 requests
 
   # A target may ignore the event after which it is asked to go on.
   Scenario Outline: An engine sends the events <first>, breaks off, then sends <later>
--- a/tools/standins/route_engine.py
+++ b/tools/standins/route_engine.py
@@ -25,6 +25,8 @@
 _BUSY = 409
 _STALE_FENCE = 412
 _MISDIRECTED = 421
+_OK = 200
+_FAILED = 500
 _UNAVAILABLE = 503
 # Limits the wait of an unload for running requests of its model; one poll
 # takes ``event_seconds``.
@@ -46,6 +48,8 @@
         request.
     :param failed_responses: number of responses with status 500; only plain
         services send them.
+    :param statuses: one entry for each response with another status; only
+        plain services send them.
     :param unanswered_requests: number of requests to run without responding.
     :param crashing_parts: prompt parts on which the engine crashes as soon as
         it runs a request with one of them.
@@ -60,11 +64,21 @@
     stream_cuts: list[int] = field(default_factory=list)
     wrong_request_ids: int = 0
     failed_responses: int = 0
+    statuses: list[int] = field(default_factory=list)
     unanswered_requests: int = 0
     crashing_parts: set[str] = field(default_factory=set)
     crashing_paths: set[str] = field(default_factory=set)
     stated_limit: float | None = None
 
+    def next_status(self) -> int:
+        """Return the status of the next response of a plain service."""
+        if self.statuses:
+            return self.statuses.pop(0)
+        if not self.failed_responses:
+            return _OK
+        self.failed_responses -= 1
+        return _FAILED
+
 
 @dataclass(slots=True)
 class RouteEngine:
@@ -335,11 +349,7 @@
             return
         headers = self._response_headers(request_id)
         if not self.max_models:
-            status = 200
-            if self.faults.failed_responses:
-                self.faults.failed_responses -= 1
-                status = 500
-            await request.start(status, headers=headers)
+            await request.start(self.faults.next_status(), headers=headers)
             await request.write(request.body or b'looked up', more=False)
             return
         await request.start(
