Log no traceback for connections that end with their listener

Cause: asyncio.start_server asks the task of a connection's coroutine function for its exception when it has ended (asyncio/streams.py, Python 3.11), and for a cancelled task that raises CancelledError, which the event loop logs. The listener cancels the connections that are open at the end of its graceful timeout, and the event loop those that are open when the process ends.

Change: the callback is a plain function that creates the task itself, so asyncio asks nothing; a connection that fails in another way is logged as connection_failed and closed, as before with asyncio's own lines. The cancellation itself is neither caught nor delayed.

Seen to fail before the change: the three rows of "A listener that ends ... with open connections logs no exception" and "A connection that fails unexpectedly is logged and closed" (4 of 24 in http_listener); all 24 passed after it. The protection was removed once and detected (3 failed).

--- a/cowsliprack/transport/http_listener.py
+++ b/cowsliprack/transport/http_listener.py
@@ -5,9 +5,11 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import anyio
+import structlog
 from anyio.lowlevel import checkpoint
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.asyncio.tcp_server import TCPServer
@@ -28,6 +30,8 @@
 # Key of a request's connection in the state of its ASGI scope.
 _STATE_KEY = 'connection'
 
+_log = structlog.get_logger('cowsliprack.listener')
+
 Application = Callable[[dict[str, Any], Receive, Send], Awaitable[None]]
 
 
@@ -176,8 +180,8 @@
 
 def _acceptor(
     application: Application, connections: _Connections
-) -> Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]:
-    """Return the callback that serves one accepted connection."""
+) -> Callable[[asyncio.StreamReader, asyncio.StreamWriter], None]:
+    """Return the callback that begins to serve an accepted connection."""
     loop = asyncio.get_running_loop()
     config = Config()
     config.errorlog = None
@@ -187,8 +191,10 @@
     config.include_server_header = False
     context = WorkerContext(None)
     wrapped = ASGIWrapper(application)
+    # The event loop does not keep its tasks.
+    tasks: set[asyncio.Task[None]] = set()
 
-    async def accept(  # noqa: WPS430
+    async def serve(  # noqa: WPS430
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
@@ -203,4 +209,27 @@
                 wrapped, loop, config, context, state, reader, writer
             )
 
+    def accept(  # noqa: WPS430
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        # Of a coroutine function asyncio asks the exception, which logs a
+        # traceback when it was cancelled.
+        task = loop.create_task(serve(reader, writer))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        task.add_done_callback(partial(_end_failed, writer.transport))
+
     return accept
+
+
+def _end_failed(
+    transport: asyncio.WriteTransport, task: asyncio.Task[None]
+) -> None:
+    """Log an unexpected error of a connection, and close it."""
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        _log.error('connection_failed', exc_info=error)
+        transport.close()
--- a/tests/steps/http_listener_steps.py
+++ b/tests/steps/http_listener_steps.py
@@ -1,17 +1,21 @@
 """Steps for the closing of idle connections."""
 
 import asyncio
+import contextlib
 import re
 import time
+from unittest import mock
 
 import anyio
 import anyio.lowlevel
 from behave import given, then, when
+from structlog.testing import capture_logs
 
 from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.waiting_requests import WaitingRequests
 from cowsliprack.metrics import Metrics
 from cowsliprack.platform.headers import PLATFORM_DIALECT
+from cowsliprack.transport import http_listener
 from cowsliprack.transport.http_listener import serve_addresses
 from cowsliprack.transport.route_server import RouteServer
 from tests.support.gateway_cluster import HOST, free_port
@@ -124,6 +128,95 @@
     assert len(context.handled) == context.count, context.handled
 
 
+@when('the listener is ended {how} while requests run')
+def when_ended(context, how):
+    context.logged = []
+    # The error that ends the process.
+    with contextlib.suppress(ExceptionGroup):
+        anyio.run(_end_listener, context, how)
+
+
+async def _end_listener(context, how):
+    _record_exceptions(context)
+    address = f'127.0.0.1:{free_port()}'
+    stopped = anyio.Event()
+
+    async def application(_scope, _receive, _respond):
+        await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            serve_addresses, application, [address], stopped, _HANDLING_SECONDS
+        )
+        for _ in range(context.count):
+            _, writer = await _connect(address)
+            writer.write(_REQUEST % 0)
+        await anyio.sleep(_HANDLING_SECONDS)
+        if how == 'by its graceful timeout':
+            stopped.set()
+        elif how == 'by its cancellation':
+            tasks.cancel_scope.cancel()
+        else:
+            raise OSError(how)
+
+
+def _record_exceptions(context):
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _loop, details: context.logged.append(details)
+    )
+
+
+@then('no exception was logged')
+def then_nothing_logged(context):
+    assert not context.logged, context.logged
+
+
+@given('a listener whose connections fail unexpectedly')
+def given_failing(context):
+    failing = mock.patch.object(
+        http_listener, 'TCPServer', side_effect=RuntimeError('unexpected')
+    )
+    context.add_cleanup(failing.stop)
+    failing.start()
+
+
+@when('a caller connects')
+def when_caller_connects(context):
+    context.logged = []
+    with capture_logs() as context.lines:
+        anyio.run(_connect_once, context)
+
+
+async def _connect_once(context):
+    _record_exceptions(context)
+    address = f'127.0.0.1:{free_port()}'
+    stopped = anyio.Event()
+
+    async def application(_scope, _receive, _respond):
+        raise AssertionError('a request was handled')
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            serve_addresses, application, [address], stopped, _TIMEOUT_SECONDS
+        )
+        reader, _ = await _connect(address)
+        with anyio.fail_after(_TIMEOUT_SECONDS):
+            context.received = await reader.read()
+        stopped.set()
+
+
+@then('its connection is closed')
+def then_connection_closed(context):
+    assert context.received == b'', context.received
+
+
+@then('the failure was logged once')
+def then_failure_logged(context):
+    assert not context.logged, context.logged
+    events = [line['event'] for line in context.lines]
+    assert events == ['connection_failed'], context.lines
+
+
 async def _let_pass(steps):
     for _ in range(steps):
         await anyio.lowlevel.checkpoint()
--- a/tests/transport/http_listener.feature
+++ b/tests/transport/http_listener.feature
@@ -58,3 +58,21 @@
     When the listener is stopped while requests run
     Then every request that was passed on is answered
     And the listener ends as soon as they have ended
+
+  # The log would hold a traceback for each of them.
+  Scenario Outline: A listener that ends <how> with open connections logs no exception
+    Given 5 kept connections to a gateway's listener, each idle
+    When the listener is ended <how> while requests run
+    Then no exception was logged
+
+    Examples:
+      | how                     |
+      | by its graceful timeout |
+      | by its cancellation     |
+      | by an error beside it   |
+
+  Scenario: A connection that fails unexpectedly is logged and closed
+    Given a listener whose connections fail unexpectedly
+    When a caller connects
+    Then its connection is closed
+    And the failure was logged once
