--- a/cowsliprack/transport/checked_transport.py
+++ b/cowsliprack/transport/checked_transport.py
@@ -102,8 +102,9 @@
 
     async def abort(self) -> None:
         """Close at once, so that the target can cancel the request."""
-        if self.discards:
-            raw = self.stream.extra(SocketAttribute.raw_socket)  # noqa: S610
+        raw = self.stream.extra(SocketAttribute.raw_socket)  # noqa: S610
+        # A connection that its peer has reset is closed already.
+        if self.discards and raw.fileno() >= 0:
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD)
         await anyio.aclose_forcefully(self.stream)
 
--- a/tests/steps/checked_transport_steps.py
+++ b/tests/steps/checked_transport_steps.py
@@ -227,6 +227,7 @@
         target_record('e1', address=address),
         EngineOrder('e1', OrderKind.load, 'm0'),
         OrderPreconditions('g1', 1, 0),
+        lambda: True,
     )
     return answer.value
 
--- a/tests/steps/order_executor_steps.py
+++ b/tests/steps/order_executor_steps.py
@@ -6,6 +6,7 @@
 
 import anyio
 import httpx
+from anyio.abc import SocketAttribute
 from behave import given, then, when
 
 from cowsliprack.coordination.model_scheduler import ModelScheduler
@@ -22,6 +23,7 @@
 from cowsliprack.state.target_registry import LoadedModel
 from cowsliprack.transport.checked_transport import CheckedTransport
 from cowsliprack.transport.order_executor import OrderExecutor
+from tests.support.cut_connections import reset
 from tests.support.held_engine import HeldEngine
 from tests.support.routed import target_record
 from tools.standins.objects import ObjectStoreServer
@@ -276,3 +278,39 @@
 @then('the engine has read no order')
 def then_none(context):
     assert not context.engine.orders, context.engine.orders
+
+
+@when('an engine resets the connection of an order')
+def when_reset(context):
+    anyio.run(_send_reset, context)
+
+
+async def _reset(stream):
+    await stream.receive()
+    reset(stream)
+    await anyio.aclose_forcefully(stream)
+
+
+async def _send_reset(context):
+    listeners = await anyio.create_tcp_listener(
+        local_host='127.0.0.1', local_port=0
+    )
+    host, port = listeners.extra(SocketAttribute.local_address)  # noqa: S610
+    async with (
+        listeners,
+        anyio.create_task_group() as tasks,
+        httpx.AsyncClient(transport=CheckedTransport()) as client,
+    ):
+        tasks.start_soon(listeners.serve, _reset)
+        context.answer = await EngineClient(client).send_order(
+            target_record('e1', address=f'{host}:{port}'),
+            EngineOrder('e1', OrderKind.load, 'm0'),
+            OrderPreconditions('g1', 1, 0),
+            lambda: True,
+        )
+        tasks.cancel_scope.cancel()
+
+
+@then('the order is in doubt')
+def then_in_doubt(context):
+    assert context.answer is OrderAnswer.unknown, context.answer
--- a/tests/transport/order_executor.feature
+++ b/tests/transport/order_executor.feature
@@ -30,3 +30,7 @@
     Given an engine that reads nothing for 0.6 seconds
     When an order of 60000 bytes is sent to it, which has room for 4096
     Then the engine has read no order
+
+  Scenario: An order whose connection the engine resets is in doubt
+    When an engine resets the connection of an order
+    Then the order is in doubt
