Log when a term stops ordering, and for how long the lease is kept

For up to a lease after an order without an answer nobody orders. The line orders_end tells the fencing number, the number of unanswered orders and the seconds until the lease may be released.

--- a/cowsliprack/transport/order_executor.py
+++ b/cowsliprack/transport/order_executor.py
@@ -189,15 +189,18 @@
         self.changed()
 
     def has_settled(self) -> bool:
-        """Return whether no order is on its way to an engine.
+        """Return whether no order is on its way to an engine."""
+        return not self.unanswered and self.seconds_in_doubt() <= 0
+
+    def seconds_in_doubt(self) -> float:
+        """Return how long the next leader must not order yet.
 
         An engine that is held up reads an order when it goes on, maybe after
-        those of the next leader. For one duration of the lease the next leader
-        must therefore not order.
+        those of the next leader, which therefore come one duration of the lease
+        after the last order without an answer.
         """
-        if self.unanswered:
-            return False
-        return self.clock() >= self._in_doubt_at + self.lease_seconds
+        ends_at = self._in_doubt_at + self.lease_seconds
+        return max(ends_at - self.clock(), 0)
 
     def is_current(self, engine: EngineState) -> bool:
         """Return whether an engine is still registered.
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -190,6 +190,12 @@
         if not self.ending:
             self._end_reason = reason
             self._unanswered_orders = self._executor.unanswered
+            _log.info(
+                'orders_end',
+                fencing=self.state.fencing,
+                unanswered=self._executor.unanswered,
+                seconds_in_doubt=round(self._executor.seconds_in_doubt(), 3),
+            )
         self.ending = True
         self._request_plan()
 
