--- a/cowsliprack/platform/engine_client.py
+++ b/cowsliprack/platform/engine_client.py
@@ -28,6 +28,8 @@
 _ORDER_TIMEOUT_SECONDS = 0.3
 _REPORT_TIMEOUT_SECONDS = 0.8
 _HTTP_OK = 200
+# The connection is reset: what the engine had not read of it is gone.
+_BROKEN_OFF = (httpx.ReadError, httpx.WriteError)
 _ANSWER_BY_STATUS = MappingProxyType(
     {
         202: OrderAnswer.accepted,
@@ -106,7 +108,11 @@
                 target=record.target_id,
                 failure=repr(failure),
             )
-            return OrderAnswer.unknown
+            return (
+                OrderAnswer.broken_off
+                if isinstance(failure, _BROKEN_OFF)
+                else OrderAnswer.unknown
+            )
         return _ANSWER_BY_STATUS.get(status, OrderAnswer.unknown)
 
     async def survey(self, record: TargetRecord) -> EngineSurvey | None:
--- a/cowsliprack/protocol/engine.py
+++ b/cowsliprack/protocol/engine.py
@@ -19,7 +19,8 @@
     ``stale_fencing``: the engine has seen a higher fencing number.
     ``other_engine``: another engine has this address. ``refused``: the order
     is invalid. ``unknown``: there was no response, and the order may still be
-    carried out.
+    read and carried out. ``broken_off``: the connection was reset without a
+    response; the order may be carried out, but is not read any more.
     """
 
     accepted = 'accepted'
@@ -29,6 +30,7 @@
     other_engine = 'other_engine'
     refused = 'refused'
     unknown = 'unknown'
+    broken_off = 'broken_off'
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowsliprack/transport/order_executor.py
+++ b/cowsliprack/transport/order_executor.py
@@ -244,7 +244,7 @@
         attempts: _OrderAttempts,
     ) -> OrderAnswer | None:
         """Return the result of an order, or ``None`` to send it again."""
-        if answer is OrderAnswer.unknown:
+        if answer in {OrderAnswer.unknown, OrderAnswer.broken_off}:
             attempts.in_doubt = True
             return await self._check_result(engine, order)
         engine.silent = False
