Remember orders without an answer from term to term

A lease that lapses may be renewed by its holder before anyone takes it. The time is kept with what an instance remembers between terms; a process counts from its start. The row "does not answer" of order_executor.feature asks the next term too.

An answer with another status shows that the order was read, so it does not hold the release.

--- a/cowsliprack/coordination/lease_terms.py
+++ b/cowsliprack/coordination/lease_terms.py
@@ -55,6 +55,10 @@
         self._rest = rest_seconds(candidate.duration)
         # Last moment at which this instance could order.
         self._ordered_until = ordered_until
+        self._duration = candidate.duration
+        # When the last order that got no answer was written. Those of an
+        # earlier process are not known.
+        self._in_doubt_at = ordered_until
         self._acquired_at = NEVER
         # Deadline of the last term.
         self._deadline = NEVER
@@ -77,6 +81,24 @@
         self._ordered_until = max(self._ordered_until, ordered_until)
         self._deadline = deadline
 
+    def leave_in_doubt(self, written_at: float) -> None:
+        """Record an order without an answer.
+
+        :param written_at: own clock as it was written, seconds.
+        """
+        self._in_doubt_at = max(self._in_doubt_at, written_at)
+
+    def seconds_in_doubt(self, now: float) -> float:
+        """Return how long the next leader must not order yet, in seconds.
+
+        An engine that is held up reads an order when it goes on, maybe after
+        those of the next leader, which therefore come one duration of the lease
+        after the last order without an answer.
+
+        :param now: own clock, seconds.
+        """
+        return max(self._in_doubt_at + self._duration - now, 0)
+
     def kept_until(self) -> float:
         """Return until when a term that ends early keeps the lease, in seconds.
 
--- a/cowsliprack/platform/engine_client.py
+++ b/cowsliprack/platform/engine_client.py
@@ -109,11 +109,11 @@
                 failure=repr(failure),
             )
             return (
-                OrderAnswer.broken_off
+                OrderAnswer.unclear
                 if isinstance(failure, _BROKEN_OFF)
                 else OrderAnswer.unknown
             )
-        return _ANSWER_BY_STATUS.get(status, OrderAnswer.unknown)
+        return _ANSWER_BY_STATUS.get(status, OrderAnswer.unclear)
 
     async def survey(self, record: TargetRecord) -> EngineSurvey | None:
         """Return the report of an engine, or ``None`` if it cannot be read.
--- a/cowsliprack/protocol/engine.py
+++ b/cowsliprack/protocol/engine.py
@@ -19,8 +19,9 @@
     ``stale_fencing``: the engine has seen a higher fencing number.
     ``other_engine``: another engine has this address. ``refused``: the order
     is invalid. ``unknown``: there was no response, and the order may still be
-    read and carried out. ``broken_off``: the connection was reset without a
-    response; the order may be carried out, but is not read any more.
+    read and carried out. ``unclear``: the connection was reset, or the
+    response says nothing of the order; it may be carried out, but is not read
+    any more.
     """
 
     accepted = 'accepted'
@@ -30,7 +31,7 @@
     other_engine = 'other_engine'
     refused = 'refused'
     unknown = 'unknown'
-    broken_off = 'broken_off'
+    unclear = 'unclear'
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowsliprack/transport/order_executor.py
+++ b/cowsliprack/transport/order_executor.py
@@ -7,6 +7,7 @@
 import anyio
 
 from cowsliprack.coordination.cold_loads import count_cold_loads
+from cowsliprack.coordination.lease_terms import LeaseTerms
 from cowsliprack.coordination.model_scheduler import ModelScheduler
 from cowsliprack.coordination.region_state import (
     RegionState,
@@ -85,7 +86,7 @@
         the term has ended.
     :param changed: called when an engine's state has changed.
     :param clock: seconds; must keep running during suspension.
-    :param lease_seconds: duration of the lease.
+    :param terms: remembers orders without an answer from term to term.
     :ivar unanswered: number of orders that are sent and not answered yet.
     """
 
@@ -94,10 +95,8 @@
     lease_left: Callable[[], float]
     changed: Callable[[], None]
     clock: Callable[[], float]
-    lease_seconds: float
+    terms: LeaseTerms
     unanswered: int = field(default=0, init=False)
-    # When the last order that got no answer was written.
-    _in_doubt_at: float = field(default=-math.inf, init=False)
 
     async def survey(self, engine: EngineState) -> None:
         """Ask an engine what it holds, until it answers and is idle.
@@ -190,17 +189,8 @@
 
     def has_settled(self) -> bool:
         """Return whether no order is on its way to an engine."""
-        return not self.unanswered and self.seconds_in_doubt() <= 0
-
-    def seconds_in_doubt(self) -> float:
-        """Return how long the next leader must not order yet.
-
-        An engine that is held up reads an order when it goes on, maybe after
-        those of the next leader, which therefore come one duration of the lease
-        after the last order without an answer.
-        """
-        ends_at = self._in_doubt_at + self.lease_seconds
-        return max(ends_at - self.clock(), 0)
+        in_doubt = self.terms.seconds_in_doubt(self.clock())
+        return not self.unanswered and in_doubt <= 0
 
     def is_current(self, engine: EngineState) -> bool:
         """Return whether an engine is still registered.
@@ -244,7 +234,7 @@
         attempts: _OrderAttempts,
     ) -> OrderAnswer | None:
         """Return the result of an order, or ``None`` to send it again."""
-        if answer in {OrderAnswer.unknown, OrderAnswer.broken_off}:
+        if answer in {OrderAnswer.unknown, OrderAnswer.unclear}:
             attempts.in_doubt = True
             return await self._check_result(engine, order)
         engine.silent = False
@@ -286,7 +276,7 @@
         finally:
             self.unanswered -= 1
             if answer is OrderAnswer.unknown:
-                self._in_doubt_at = max(self._in_doubt_at, attempt.written_at)
+                self.terms.leave_in_doubt(attempt.written_at)
         return answer
 
     async def _check_result(
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -165,7 +165,7 @@
             self.lease_left,
             self._request_plan,
             context.clock,
-            context.lease_seconds,
+            lease.terms,
         )
 
     def holds_lease(self) -> bool:
@@ -194,7 +194,9 @@
                 'orders_end',
                 fencing=self.state.fencing,
                 unanswered=self._executor.unanswered,
-                seconds_in_doubt=round(self._executor.seconds_in_doubt(), 3),
+                seconds_in_doubt=round(
+                    self._lease.terms.seconds_in_doubt(self._context.clock()), 3
+                ),
             )
         self.ending = True
         self._request_plan()
--- a/tests/coordination/lease.feature
+++ b/tests/coordination/lease.feature
@@ -142,7 +142,7 @@
 
   Scenario: A holder that has stopped is succeeded at once
     When a releases its lease without the store and announces it
-    And a has the fault "frozen" and b runs for 3 seconds
+    And a has the fault "frozen" and b runs for 1 seconds
     Then b has the role leader
 
   Scenario: A renewal after the announcement counts even without an answer
--- a/tests/steps/order_executor_steps.py
+++ b/tests/steps/order_executor_steps.py
@@ -10,6 +10,8 @@
 from anyio.abc import SocketAttribute
 from behave import given, then, when
 
+from cowsliprack.coordination.lease_record import NEVER, Candidate
+from cowsliprack.coordination.lease_terms import LeaseTerms
 from cowsliprack.coordination.model_scheduler import ModelScheduler
 from cowsliprack.coordination.region_state import RegionState
 from cowsliprack.platform.engine_client import EngineClient
@@ -158,10 +160,14 @@
         lease_left=lambda: math.inf,
         changed=changed,
         clock=time.monotonic,
-        lease_seconds=3,
+        terms=_terms(),
     )
 
 
+def _terms():
+    return LeaseTerms(Candidate('g1', '', 3, 'session'), NEVER)
+
+
 async def _order(client, engine, orders):
     state = EngineState(target_record('e1', address=engine.address))
     executor = _executor(EngineClient(client), state, SimpleNamespace)
@@ -288,6 +294,9 @@
 
 async def _answer_badly(fault, stream):
     await stream.receive()
+    if fault == 'answers 503':
+        await stream.send(b'HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n')
+        await anyio.sleep_forever()
     if fault == 'does not answer':
         await anyio.sleep_forever()
     if fault == 'resets its connection':
@@ -306,25 +315,31 @@
         httpx.AsyncClient(transport=CheckedTransport()) as client,
     ):
         tasks.start_soon(listeners.serve, partial(_answer_badly, fault))
-        executor = OrderExecutor(
-            RegionState(1, 'g1', ''),
-            EngineClient(client),
-            lease_left=lambda: math.inf,
-            changed=lambda: None,
-            clock=time.monotonic,
-            lease_seconds=3,
+        terms = _terms()
+        executor, next_one = (
+            OrderExecutor(
+                RegionState(1, 'g1', ''),
+                EngineClient(client),
+                lease_left=lambda: math.inf,
+                changed=lambda: None,
+                clock=time.monotonic,
+                terms=terms,
+            )
+            for _ in range(2)
         )
         context.answer = await executor._send_once(
             EngineState(target_record('e1', address=f'{host}:{port}')),
             EngineOrder('e1', OrderKind.load, 'm0'),
         )
+        # A lease that has lapsed is renewed in a new term.
         context.has_settled = executor.has_settled()
+        assert next_one.has_settled() == context.has_settled
         tasks.cancel_scope.cancel()
 
 
 @then('the order may have been accepted')
 def then_in_doubt(context):
-    assert context.answer in {OrderAnswer.unknown, OrderAnswer.broken_off}
+    assert context.answer in {OrderAnswer.unknown, OrderAnswer.unclear}
 
 
 @then('the next leader may order at once: {answer}')
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -9,7 +9,7 @@
 
 from cowsliprack.coordination.fleet_view import FleetView
 from cowsliprack.coordination.freshness import Freshness
-from cowsliprack.coordination.lease_record import Candidate
+from cowsliprack.coordination.lease_record import NEVER, Candidate
 from cowsliprack.coordination.lease_terms import LeaseTerms
 from cowsliprack.coordination.model_scheduler import ModelScheduler
 from cowsliprack.coordination.region_state import (
@@ -267,6 +267,7 @@
         fencing=7,
         observation=SimpleNamespace(version=1),
         held_until=lambda: context.now + 3,
+        terms=LeaseTerms(Candidate('i0', '', 3, 's'), NEVER),
     )
     context.term = RegionTerm(
         surroundings,
--- a/tests/transport/order_executor.feature
+++ b/tests/transport/order_executor.feature
@@ -40,4 +40,5 @@
       | fault                 | settled |
       | resets its connection | yes     |
       | closes its connection | no      |
+      | answers 503           | yes     |
       | does not answer       | no      |
