Wait within the stop until the lease is released, and list an older fault

It now waits, within the time to stop. The new scenario of region_term.feature fails without the wait.

--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -31,7 +31,11 @@
 from cowsliprack.transport.http_listener import serve_addresses
 from cowsliprack.transport.peer_sockets import PeerSockets
 from cowsliprack.transport.poison_watch import PoisonWatch
-from cowsliprack.transport.region import Region, RegionContext
+from cowsliprack.transport.region import (
+    Region,
+    RegionContext,
+    wait_released,
+)
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.route_server import RouteServer
 from cowsliprack.transport.running_time import RunningTime
@@ -254,6 +258,7 @@
         self.draining = True
         self.region.leaving = True
         _log.info('draining', requests=self.server.open_requests)
+        released_by = anyio.current_time() + self._releasing_seconds()
         await self.region.release()
         await anyio.sleep(_BALANCER_UPDATE_SECONDS)
         stopped.set()
@@ -262,6 +267,7 @@
         _log.info('drained', requests=self.server.open_requests)
         self.server.relay.end_requests()
         await self._wait_closed(_FINAL_RESPONSE_SECONDS)
+        await wait_released(self.region, released_by - anyio.current_time())
 
     async def _wait_closed(self, seconds: float) -> None:
         with anyio.move_on_after(seconds):
@@ -274,6 +280,12 @@
         running = self.settings.grace_seconds * (1 - _GRACE_MARGIN_SHARE)
         return max(running - _BALANCER_UPDATE_SECONDS, 0)
 
+    def _releasing_seconds(self) -> float:
+        """Return how long the release may wait for orders without an answer."""
+        running = self.settings.grace_seconds * (1 - _GRACE_MARGIN_SHARE)
+        waiting = self.settings.lease_seconds + _FINAL_RESPONSE_SECONDS
+        return min(running, waiting)
+
     async def _serve_http(self, stopped: anyio.Event) -> None:
         settings = self.settings
         addresses = [
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -532,3 +532,14 @@
         if organisation is None or answer.fencing < self._view_fencing:
             return
         self.credit_asks.apply_answer(answer, organisation)
+
+
+async def wait_released(region: Region, seconds: float) -> None:
+    """Wait until an instance that stops has released the lease.
+
+    :param region: of which ``release`` was called.
+    :param seconds: longest wait; the lease lapses if it is not released.
+    """
+    with anyio.move_on_after(seconds):
+        while region.term or region.lease.is_engaged():  # noqa: ASYNC110
+            await anyio.sleep(_LEASE_CHECK_INTERVAL_SECONDS)
--- a/tests/coordination/lease.feature
+++ b/tests/coordination/lease.feature
@@ -364,6 +364,10 @@
       | 2     |
       | 3     |
 
+  Scenario: Two instances hold a lease that is missing from the copy with which the store returns
+    When 2 instances hand over, restart and lose the store for 60 seconds from the first start on, 200 times
+    Then no holder orders again within a lease after another one
+
   Scenario: A leader of an earlier build leads again too soon after another one
     Given a is of an earlier build
     And a leads
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -494,12 +494,16 @@
             terms.others_rest = lambda: False
 
 
-def _play(simulation, seed, seconds):
-    """Draw releases, restarts, lost writes, freezes and outages."""
+def _play(simulation, seed, seconds, *, has_led=True):
+    """Draw releases, restarts, lost writes, freezes and outages.
+
+    :param has_led: whether the lease was written before the first event.
+    """
     rng = random.Random(seed)
     names = list(simulation.leases)
     simulation.resumes = set(names)
-    simulation.run(1, names)
+    if has_led:
+        simulation.run(1, names)
     while simulation.now < 100 + seconds:
         rng.choice(_EVENTS)(simulation, rng)
         running = list(simulation.leases)
@@ -527,11 +531,20 @@
     _play_all(context, _Simulation, 'abc'[:count], seconds, plays)
 
 
-def _play_all(context, simulation_type, names, seconds, plays):
+@when(
+    '{count:d} instances hand over, restart and lose the store for '
+    '{seconds:d} seconds from the first start on, {plays:d} times'
+)
+def when_played_from_start(context, count, seconds, plays):
+    names = 'abc'[:count]
+    _play_all(context, _Simulation, names, seconds, plays, has_led=False)
+
+
+def _play_all(context, simulation_type, names, seconds, plays, *, has_led=True):
     context.failures = {}
     for seed in range(plays):
         try:
-            _play(simulation_type(names), seed, seconds)
+            _play(simulation_type(names), seed, seconds, has_led=has_led)
         except AssertionError as error:
             context.failures[seed] = str(error)
 
--- a/tests/steps/region_term_steps.py
+++ b/tests/steps/region_term_steps.py
@@ -5,6 +5,7 @@
 import anyio
 from behave import given, then, when
 
+from cowsliprack.transport.region import wait_released
 from tests.support.region_world import RegionWorld
 
 _LEASE_SECONDS = 1.5
@@ -206,3 +207,25 @@
 def then_orders_again(context):
     orders = context.world.engine.orders
     assert any(at > context.regained_at for at, _, _ in orders), orders
+
+
+@when(
+    'the engine reads nothing for {held:g} seconds, and g1 is told to stop and '
+    'ends after an order'
+)
+def when_stopped(context, held):
+    async def script(world):
+        await world.until_led()
+        region = world.regions_by_id['g1']
+        world.engine.held_until = time.monotonic() + held
+        world.order('g1', 'm0')
+        await anyio.sleep(held / 2)
+        await region.release()
+        await wait_released(region, 2 * _LEASE_SECONDS)
+
+    _run(context, script)
+
+
+@then('the lease has been released')
+def then_released_once(context):
+    assert context.world.store.released_at
--- a/tests/transport/region_term.feature
+++ b/tests/transport/region_term.feature
@@ -45,6 +45,11 @@
       | hand-over    | 0.9   |
       | planned stop | 0.9   |
 
+  Scenario: A process does not end before it has released the lease
+    Given two instances, of which g1 leads
+    When the engine reads nothing for 0.6 seconds, and g1 is told to stop and ends after an order
+    Then the lease has been released
+
   # Engines that fall silent for a moment must not end the term.
   Scenario: A term goes on if engines answer again before an order without an answer is settled
     Given two instances, of which g1 leads
