--- a/tests/support/cut_connections.py
+++ b/tests/support/cut_connections.py
@@ -1,9 +1,11 @@
 """Cuts the connections of single processes to the ports of stand-ins."""
 
 import contextlib
+import errno
 import os
 import socket
 import struct
+from pathlib import Path
 
 from anyio.abc import SocketAttribute
 
@@ -92,9 +94,17 @@
 def _inode(port, server_port):
     """Return the inode of a connection; 0 if it is not open.
 
-    The kernel finds one connection by its ports at once; /proc/net/tcp lists
-    all, which takes milliseconds with thousands of closed ones.
+    The kernel finds one connection by its ports at once. Where it does not
+    offer that, /proc/net/tcp lists all, which takes milliseconds with thousands
+    of closed ones.
     """
+    try:
+        return _diagnosed_inode(port, server_port)
+    except OSError:
+        return _listed_inode(port)
+
+
+def _diagnosed_inode(port, server_port):
     loopback = socket.inet_aton('127.0.0.1') + bytes(12)
     request = (
         struct.pack('=BBBBI', socket.AF_INET, socket.IPPROTO_TCP, 0, 0, _ALL)
@@ -110,9 +120,22 @@
     ) as diagnosis:
         diagnosis.send(header + request)
         answer = diagnosis.recv(4096)
-    if struct.unpack_from(_HEADER, answer)[1] != _BY_FAMILY:
+    if struct.unpack_from(_HEADER, answer)[1] == _BY_FAMILY:
+        return struct.unpack_from('=I', answer, _INODE_OFFSET)[0]
+    error = -struct.unpack_from('=i', answer, _HEADER_SIZE)[0]
+    if error == errno.ENOENT:
         return 0
-    return struct.unpack_from('=I', answer, _INODE_OFFSET)[0]
+    raise OSError(error, 'no socket diagnosis')
+
+
+def _listed_inode(port):
+    needle = f'0100007F:{port:04X}'
+    for line in Path('/proc/net/tcp').read_text().splitlines()[1:]:
+        columns = line.split()
+        # Closed connections in TIME_WAIT have no inode.
+        if columns[1] == needle and columns[9] != '0':
+            return int(columns[9])
+    return 0
 
 
 def _links(pid):
