Keep requests from evacuated zones and limit those to cold targets

Operators evacuate availability zones, and targets that have just started take few requests a second from all instances together. The leader watches the evacuations and relays them; members leave out the targets of these zones, and the scheduler their engines. Cold targets are known from their entries, answers and health checks; their rate is divided by demand like the limits that targets name. The request line gains the longest pause, the last send and whether the caller seems to have come back.

--- a/cowsliprack/coordination/engine_index.py
+++ b/cowsliprack/coordination/engine_index.py
@@ -6,7 +6,6 @@
 
 from cowsliprack.state.engine_state import EngineState
 from cowsliprack.state.routing_table import ModelSpec
-from cowsliprack.state.target_registry import TargetState
 
 
 @dataclass(slots=True)
@@ -173,7 +172,7 @@
     for engine in engines:
         index.running_by_model.update(engine.running)
         if not engine.is_usable():
-            if engine.record.state is TargetState.ready:
+            if engine.is_registered():
                 index.returning_models.update(engine.models_at_hand())
             continue
         index.usable.append(engine)
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -363,7 +363,11 @@
         own_loads = self._lost_loads.expected_ends(self.cold_loads.store_limit)
         self.absent.update(
             self.spec.models_by_name,
-            self.engines_by_id.values(),
+            [
+                engine
+                for engine in self.engines_by_id.values()
+                if not engine.is_evacuated
+            ],
             {**self.earlier_loads, **own_loads},
             now,
         )
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -13,6 +13,7 @@
 from cowsliprack.coordination.target_limits import (
     AVOIDED_SECONDS,
     ReportedUses,
+    divide_cold_limits,
     divide_limits,
     newest_limits,
 )
@@ -29,8 +30,10 @@
 from cowsliprack.protocol.message_level import (
     ABSENCES_LEVEL,
     LOADS_DUE_LEVEL,
+    OVERLOAD_LEVEL,
     message_level,
 )
+from cowsliprack.protocol.overload_messages import ColdShare
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder, EngineState
 from cowsliprack.state.routing_table import RoutingTable
@@ -182,7 +185,9 @@
                 scheduler.engines_by_id.pop(target_id)
             for record in records_by_id.values():
                 engine = _update_engine(scheduler, record)
-                if not engine.surveyed and not engine.surveying:
+                engine.is_evacuated = record.zone in registry.evacuations.zones
+                is_open = not engine.surveyed and not engine.surveying
+                if is_open and not engine.is_evacuated:
                     unknown.append(engine)
         return unknown
 
@@ -246,8 +251,8 @@
             for scheduler in self.schedulers_by_service.values()
             for engine in scheduler.engines_by_id.values()
             if engine.suspected
-            and engine.order is None
-            and not engine.probing
+            and not engine.is_evacuated
+            and engine.may_be_probed()
             and now - engine.probed_at > _CHECK_INTERVAL_SECONDS
         ]
 
@@ -360,6 +365,9 @@
         loads_due: tuple[LoadDue, ...] = ()
         if level >= LOADS_DUE_LEVEL:
             loads_due = self._loads_due.changes_since(base, now)
+        cold: tuple[ColdShare, ...] = ()
+        if level >= OVERLOAD_LEVEL:
+            cold = divide_cold_limits(report.instance_id, self._limit_reports)
         return LeaderView(
             fencing=self.fencing,
             sequence=self.sequence,
@@ -383,6 +391,7 @@
             peers_digest=digest,
             absences=absences,
             loads_due=loads_due,
+            cold=cold,
         )
 
     def apply_limits(self, now: float) -> None:
@@ -395,9 +404,10 @@
                 member.report.instance_id,
                 member.report.limits,
                 now - member.seen_at,
+                member.report.cold,
             )
             for member in self._live_members(now)
-            if member.report.limits
+            if member.report.limits or member.report.cold
         ]
         newest = newest_limits(self._limit_reports)
         for scheduler in self.schedulers_by_service.values():
--- a/cowsliprack/coordination/relayed_targets.py
+++ b/cowsliprack/coordination/relayed_targets.py
@@ -7,6 +7,8 @@
     MemberReport,
     TargetView,
 )
+from cowsliprack.protocol.message_level import OVERLOAD_LEVEL, message_level
+from cowsliprack.state.evacuations import Evacuations
 from cowsliprack.state.store_version import era_of, join_version, revision_of
 from cowsliprack.state.target_registry import (
     TargetRecord,
@@ -47,6 +49,20 @@
         'targets': tuple(_target_view(record) for record in changed),
         'targets_gone': () if is_complete else tuple(gone),
         'targets_complete': is_complete,
+        **_relayed_evacuations(registry.evacuations, report),
+    }
+
+
+def _relayed_evacuations(
+    evacuations: Evacuations, report: MemberReport
+) -> dict[str, Any]:
+    is_known = message_level(report.boot) >= OVERLOAD_LEVEL
+    if not is_known or evacuations.revision < 0:
+        return {}
+    return {
+        'evacuations_revision': revision_of(evacuations.revision),
+        'evacuations_era': era_of(evacuations.revision),
+        'evacuated_zones': tuple(sorted(evacuations.zones)),
     }
 
 
--- a/cowsliprack/coordination/target_limits.py
+++ b/cowsliprack/coordination/target_limits.py
@@ -5,13 +5,16 @@
 """
 
 import math
+import random
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
+from cowsliprack.coordination.cold_limits import ColdLimits
 from cowsliprack.coordination.demand_rates import DemandRates
 from cowsliprack.protocol.gateway_messages import LimitShare, LimitUse
+from cowsliprack.protocol.overload_messages import ColdShare, ColdUse
 
 # A limit that no answer has confirmed for this time no longer holds; a target
 # that gets requests at its limit confirms it within seconds.
@@ -35,6 +38,9 @@
 # Requests that a share which was not used may send at once, in seconds of the
 # share; at least one request.
 _SAVED_SECONDS = 0.25
+# Time without a request from which an instance does not keep what it has saved
+# for a cold target. Many instances could send theirs in the same second.
+_COLD_IDLE_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,9 +84,12 @@
     :param instances: number of instances among which the leader divides.
     :param waiting_by_id: own requests that wait for their turn at a target.
     :param wanted: own requests per second, by target.
+    :param cold: limits of cold targets, which hold beside the stated ones.
     """
 
     instances: int = 1
+    cold: ColdLimits = field(default_factory=ColdLimits)
+    rng: random.Random = field(default_factory=random.Random)
     stated_by_id: dict[str, StatedLimit] = field(default_factory=dict)
     waiting_by_id: Counter[str] = field(default_factory=Counter)
     wanted: DemandRates = field(default_factory=DemandRates)
@@ -153,10 +162,13 @@
         :param target_id: id of the target.
         :param now: seconds.
         """
-        stated = self.stated_by_id.get(target_id)
-        if stated is None or now - stated.stated_at > _LIMIT_LIFETIME_SECONDS:
-            return math.inf
-        return stated.rate
+        return min(
+            self._stated_rate(target_id, now), self.cold.rate(target_id, now)
+        )
+
+    def has_any(self) -> bool:
+        """Return whether any target has lately had a limit."""
+        return bool(self.stated_by_id or self.cold.limit_by_id)
 
     def limited(self, target_ids: Iterable[str], now: float) -> list[str]:
         """Return the targets that have a limit.
@@ -176,7 +188,7 @@
         :param target_id: id of the target.
         :param now: seconds.
         """
-        if not self.limited([target_id], now):
+        if math.isinf(self._stated_rate(target_id, now)):
             return False
         return now - self.stated_by_id[target_id].stated_at < AVOIDED_SECONDS
 
@@ -240,12 +252,26 @@
 
         :param known: ids of existing targets.
         """
-        for target_id in set(self.stated_by_id).difference(known):
+        kept = set(known)
+        for target_id in set(self.stated_by_id).difference(kept):
             self._forget(target_id)
+        self.cold.prune(kept)
+
+    def _stated_rate(self, target_id: str, now: float) -> float:
+        stated = self.stated_by_id.get(target_id)
+        if stated is None or now - stated.stated_at > _LIMIT_LIFETIME_SECONDS:
+            return math.inf
+        return stated.rate
 
     def _share(self, target_id: str, now: float) -> float:
         """Return the requests per second of this instance, ``inf`` for any."""
-        rate = self.rate(target_id, now)
+        return min(
+            self._stated_share(target_id, now),
+            self.cold.share(target_id, self.instances, now),
+        )
+
+    def _stated_share(self, target_id: str, now: float) -> float:
+        rate = self._stated_rate(target_id, now)
         if math.isinf(rate):
             return rate
         even_share = rate / max(self.instances, 1)
@@ -263,9 +289,16 @@
 
     def _refilled(self, target_id: str, share: float, now: float) -> _Allowed:
         allowed = self._allowed_by_id.get(target_id)
-        if allowed is None:
+        is_cold = math.isfinite(self.cold.rate(target_id, now))
+        if is_cold and (
+            allowed is None or now - allowed.updated_at > _COLD_IDLE_SECONDS
+        ):
+            # With equal shares, the first requests of all instances would
+            # arrive at the same moment.
+            allowed = _Allowed(now, self.rng.random())
+        elif allowed is None:
             allowed = _Allowed(now)
-            self._allowed_by_id[target_id] = allowed
+        self._allowed_by_id[target_id] = allowed
         allowed.refill(share, now)
         return allowed
 
@@ -285,11 +318,13 @@
     """Limits and demand in the last report of one instance.
 
     :param age: seconds since the report arrived.
+    :param cold: cold targets and demand.
     """
 
     instance_id: str
     uses: tuple[LimitUse, ...]
     age: float
+    cold: tuple[ColdUse, ...] = ()
 
 
 def newest_limits(reports: Iterable[ReportedUses]) -> dict[str, LimitUse]:
@@ -316,32 +351,71 @@
     :param instance_id: id of the instance.
     :param reports: of all instances.
     """
+    uses_by_instance = {one.instance_id: one.uses for one in reports}
     return tuple(
         LimitShare(
             target_id,
             stated.rate,
-            _share_of(instance_id, stated.rate or 0, target_id, reports),
+            _share_of(
+                instance_id,
+                stated.rate or 0,
+                target_id,
+                uses_by_instance,
+            ),
             stated.age,
         )
         for target_id, stated in newest_limits(reports).items()
     )
 
 
+def divide_cold_limits(
+    instance_id: str,
+    reports: list[ReportedUses],
+) -> tuple[ColdShare, ...]:
+    """Return the shares of one instance of the limits of cold targets.
+
+    :param instance_id: id of the instance.
+    :param reports: of all instances.
+    """
+    uses_by_instance = {one.instance_id: one.cold for one in reports}
+    longest: dict[str, ColdUse] = {}
+    for report in reports:
+        for use in report.cold:
+            left = use.seconds_left - report.age
+            known = longest.get(use.target_id)
+            if left > 0 and (known is None or known.seconds_left < left):
+                longest[use.target_id] = ColdUse(use.target_id, use.rate, left)
+    return tuple(
+        ColdShare(
+            target_id,
+            cold.rate,
+            cold.seconds_left,
+            _share_of(
+                instance_id,
+                cold.rate,
+                target_id,
+                uses_by_instance,
+            ),
+        )
+        for target_id, cold in longest.items()
+    )
+
+
 def _share_of(
     instance_id: str,
     rate: float,
     target_id: str,
-    reports: list[ReportedUses],
+    uses_by_instance: Mapping[str, Iterable[LimitUse | ColdUse]],
 ) -> float:
     """Return the part of a limit for one instance, requests per second."""
     wanted_by_id = {}
     weight_by_id = {}
-    for report in reports:
-        for use in report.uses:
+    for holder_id, uses in uses_by_instance.items():
+        for use in uses:
             if use.target_id == target_id and use.wanted:
                 weight = _HOLDER_WEIGHT if use.share else 1
-                wanted_by_id[report.instance_id] = use.wanted
-                weight_by_id[report.instance_id] = use.wanted * weight
+                wanted_by_id[holder_id] = use.wanted
+                weight_by_id[holder_id] = use.wanted * weight
     most = max(int(rate / _MIN_SHARE_PER_SECOND), 1)
     holders = sorted(weight_by_id, key=weight_by_id.__getitem__)[-most:]
     if instance_id not in holders:
--- a/cowsliprack/metrics.py
+++ b/cowsliprack/metrics.py
@@ -47,6 +47,14 @@
             'cowsliprack_zone_leader',
             '1 while this instance leads its zone.',
         )
+        self.evacuated_zones = self._gauge(
+            'cowsliprack_evacuated_zones',
+            'Availability zones whose targets get no requests.',
+        )
+        self.cold_targets = self._gauge(
+            'cowsliprack_cold_targets',
+            'Targets whose requests are limited because they are cold.',
+        )
         self.loop_late = self._gauge(
             'cowsliprack_loop_late_seconds',
             'Time for which the event loop was held up during deadlines.',
--- a/cowsliprack/platform/headers.py
+++ b/cowsliprack/platform/headers.py
@@ -35,6 +35,8 @@
 # Rejections per second after which a target fails.
 _BRITTLE = b'server-brittle'
 _RETRY_AFTER = b'retry-after'
+# How much longer the target stays cold, milliseconds.
+_COLD = b'x-cold-ms'
 _UNAVAILABLE_STATUS = 503
 _MISDIRECTED_STATUS = 421
 _MS = 1000
@@ -183,6 +185,7 @@
         leaving is not None and leaving.strip() == _LEAVING_TEXT,
         retry_after or 0,
         _find_number(headers, _BRITTLE),
+        (_find_number(headers, _COLD) or 0) / _MS,
     )
 
 
--- a/cowsliprack/platform/run.py
+++ b/cowsliprack/platform/run.py
@@ -38,6 +38,10 @@
 _CONFIGURATION_WATCH_FRACTION = 0.3
 # Timeout of a watch of the targets.
 _TARGETS_WATCH_SECONDS = 2.5
+# Timeout of a watch of the evacuated zones, as a fraction of the time within
+# which an evacuation must be in force. A watch that hangs is repeated, and the
+# zones are relayed, within the rest.
+_EVACUATIONS_WATCH_FRACTION = 0.3
 
 _log = structlog.get_logger('cowsliprack.platform')
 
@@ -77,6 +81,9 @@
         configuration_watch_seconds=settings.max_relay_age_seconds
         * _CONFIGURATION_WATCH_FRACTION,
         targets_watch_seconds=_TARGETS_WATCH_SECONDS,
+        evacuations_kind='evacuations' if settings.evacuation_seconds else '',
+        evacuations_watch_seconds=settings.evacuation_seconds
+        * _EVACUATIONS_WATCH_FRACTION,
         ready_path='/-/readyz',
         read_fleet_secret=read_fleet_secret,
         restore_fleet_secret=restore_fleet_secret,
--- a/cowsliprack/platform/settings.py
+++ b/cowsliprack/platform/settings.py
@@ -57,6 +57,9 @@
         name='bounds.quota_window_s',
         default=8,
     )
+    # Time within which requests to an evacuated zone must end; 0 where zones
+    # are never evacuated.
+    evac_ms: float = msgspec.field(name='bounds.evac_ms', default=0)
 
 
 def load_platform_settings(
@@ -114,6 +117,7 @@
             link_megabits=fields.link_mbps,
             max_relay_age_seconds=fields.config_ms / _MS
             - _STORE_READ_RESERVE_SECONDS,
+            evacuation_seconds=fields.evac_ms / _MS,
         )
     except (msgspec.ValidationError, ValueError) as error:
         raise ConfigurationError([f'settings file: {error}']) from error
--- a/cowsliprack/platform/wire.py
+++ b/cowsliprack/platform/wire.py
@@ -84,6 +84,10 @@
     max_conns: int = 64
     engine: _Engine | None = None
     health_path: str = '/healthz'
+    # Requests per second that a cold target takes from all instances together.
+    cold_per_s: float = 0
+    # Time for which a target is cold after its start.
+    cold_start_s: float = 0
 
 
 class _Limits(msgspec.Struct):
@@ -140,6 +144,8 @@
     models: list[HeldModel] = []
     at_hand: _AtHand = msgspec.field(default_factory=_AtHand)
     busy: bool = False
+    # How much longer the target stays cold.
+    cold_left_ms: float = 0
 
 
 class EngineReport(msgspec.Struct):
@@ -222,6 +228,7 @@
         in_memory=frozenset(wire.at_hand.in_memory),
         on_disk=frozenset(wire.at_hand.on_disk),
         busy=wire.busy,
+        cold_seconds=max(wire.cold_left_ms, 0) / _MS,
     )
 
 
@@ -322,31 +329,32 @@
 
 
 def _to_service(wire: _Service) -> ServiceSpec:
-    if wire.engine is None:
-        return ServiceSpec(
-            wire.name, wire.max_conns, health_path=wire.health_path
-        )
-    engine = wire.engine
     return ServiceSpec(
         name=wire.name,
         max_connections=wire.max_conns,
         health_path=wire.health_path,
-        engine=EngineSpec(
-            slots=engine.slots,
-            token_capacity=engine.kv_capacity,
-            weights_memory=engine.weights_size,
-            adapter_slots=engine.adapter_slots,
-            loads_per_second=engine.loads_per_s,
-            models_by_name={
-                model.name: ModelSpec(
-                    name=model.name,
-                    size=model.weights_size,
-                    adapter_size=model.adapter_mb,
-                    cold_seconds=model.load_s,
-                    disk_seconds=model.disk_s or model.load_s,
-                    warm_seconds=model.warm_s or model.load_s,
-                )
-                for model in engine.models
-            },
-        ),
+        engine=None if wire.engine is None else _to_engine(wire.engine),
+        cold_rate=wire.cold_per_s,
+        cold_seconds=wire.cold_start_s,
+    )
+
+
+def _to_engine(engine: _Engine) -> EngineSpec:
+    return EngineSpec(
+        slots=engine.slots,
+        token_capacity=engine.kv_capacity,
+        weights_memory=engine.weights_size,
+        adapter_slots=engine.adapter_slots,
+        loads_per_second=engine.loads_per_s,
+        models_by_name={
+            model.name: ModelSpec(
+                name=model.name,
+                size=model.weights_size,
+                adapter_size=model.adapter_mb,
+                cold_seconds=model.load_s,
+                disk_seconds=model.disk_s or model.load_s,
+                warm_seconds=model.warm_s or model.load_s,
+            )
+            for model in engine.models
+        },
     )
--- a/cowsliprack/protocol/dialect.py
+++ b/cowsliprack/protocol/dialect.py
@@ -69,11 +69,13 @@
         0 for none.
     :param brittle_rate: requests per second that it can turn away for want of
         room before it fails; ``None`` if it is not brittle.
+    :param cold_seconds: time for which it stays cold; 0 if it does not say.
     """
 
     is_leaving: bool = False
     retry_after: float = 0
     brittle_rate: float | None = None
+    cold_seconds: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from cowsliprack.protocol.credit_messages import CreditShare, CreditUse
+from cowsliprack.protocol.overload_messages import ColdShare, ColdUse
 from cowsliprack.protocol.peer_message import PeerMessage
 
 
@@ -96,6 +97,8 @@
     :param cut_off: whether the sender reaches no target of some service.
     :param credit: its demand by organisation; only for leaders of message level
         3 or higher.
+    :param cold: targets that it knows to be cold; only for leaders of message
+        level 6 or higher.
     """
 
     instance_id: str
@@ -117,6 +120,7 @@
     peers_digest: int = 0
     cut_off: bool = False
     credit: tuple[CreditUse, ...] = ()
+    cold: tuple[ColdUse, ...] = ()
 
 
 class EngineView(msgspec.Struct, frozen=True, array_like=True):
@@ -252,6 +256,12 @@
     :param credit: the member's parts of the organisations' limits, all of them;
         ``None`` if it holds these. Only for members of message level 3 or
         higher.
+    :param cold: limits of cold targets and the member's shares of them; only
+        for members of message level 6 or higher, like the following fields.
+    :param evacuations_revision: revision of the leader's reading of the
+        evacuated zones; -1 for none.
+    :param evacuations_era: era of that revision.
+    :param evacuated_zones: zones whose targets get no requests.
     """
 
     fencing: int
@@ -280,6 +290,10 @@
     absences: tuple[ModelAbsence, ...] = ()
     loads_due: tuple[LoadDue, ...] = ()
     credit: tuple[CreditShare, ...] | None = None
+    cold: tuple[ColdShare, ...] = ()
+    evacuations_revision: int = -1
+    evacuations_era: int = 0
+    evacuated_zones: tuple[str, ...] = ()
 
 
 class LeaderAnnounced(PeerMessage, frozen=True):
--- a/cowsliprack/protocol/message_level.py
+++ b/cowsliprack/protocol/message_level.py
@@ -18,7 +18,9 @@
 # 4: streams that members begin, sent to the leader to be recorded.
 # Also raised with what an instance does:
 # 5: it rests between two terms as leader.
-MESSAGE_LEVEL = 5
+# Again with messages and fields:
+# 6: evacuated zones, cold targets and the leader's division of their limits.
+MESSAGE_LEVEL = 6
 ABSENCES_LEVEL = 1
 LOADS_DUE_LEVEL = 2
 ANNOUNCEMENT_LEVEL = 3
@@ -26,6 +28,7 @@
 COMPRESSED_CONFIGURATION_LEVEL = 3
 RECORDED_STREAMS_LEVEL = 4
 REST_LEVEL = 5
+OVERLOAD_LEVEL = 6
 _SEPARATOR = '.'
 _ID_LENGTH = 12
 
--- a/cowsliprack/protocol/platform_bindings.py
+++ b/cowsliprack/protocol/platform_bindings.py
@@ -27,6 +27,9 @@
     :param configuration_watch_seconds: longest wait of one watch request. Each
         response confirms that the configuration in force is the latest.
     :param targets_watch_seconds: longest wait of one watch request.
+    :param evacuations_kind: kind of the objects named by evacuated zones; empty
+        where zones are never evacuated.
+    :param evacuations_watch_seconds: longest wait of one watch request.
     :param ready_path: path of the load balancer's readiness check.
     :param read_fleet_secret: reads the secret that instances share.
     :param restore_fleet_secret: writes it again if the store has lost it.
@@ -42,6 +45,8 @@
     targets_kind: str
     configuration_watch_seconds: float
     targets_watch_seconds: float
+    evacuations_kind: str
+    evacuations_watch_seconds: float
     ready_path: str
     read_fleet_secret: Callable[[ObjectStore, bool], Awaitable[str]]
     restore_fleet_secret: Callable[[ObjectStore, str], Awaitable[None]]
--- a/cowsliprack/state/engine_state.py
+++ b/cowsliprack/state/engine_state.py
@@ -49,6 +49,8 @@
     :param running: number of running requests by model and by
         ``model/adapter``, from the reports of all instances.
     :param is_limited: whether it has named a limit to its requests.
+    :param is_evacuated: whether its zone is evacuated, so that it gets neither
+        requests nor orders.
     :param loaded_at_by_model: time at which the load ended, seconds.
     :param used_at_by_name: time of the last request of a model or adapter,
         seconds.
@@ -72,6 +74,7 @@
     draining_models: set[str] = field(default_factory=set)
     running: Counter[str] = field(default_factory=Counter)
     is_limited: bool = False
+    is_evacuated: bool = False
     loaded_at_by_model: dict[str, float] = field(default_factory=dict)
     used_at_by_name: dict[str, float] = field(default_factory=dict)
 
@@ -82,12 +85,20 @@
 
     def is_usable(self) -> bool:
         """Return whether the engine accepts requests and orders."""
+        return self.surveyed and self.is_registered() and not self.silent
+
+    def is_registered(self) -> bool:
+        """Return whether it would accept requests as far as the store says."""
         is_ready = self.record.state is TargetState.ready
-        return self.surveyed and is_ready and not self.silent
+        return is_ready and not self.is_evacuated
 
     def awaits_survey(self) -> bool:
         """Return whether it would accept orders, but is not surveyed yet."""
-        return not self.surveyed and self.record.state is TargetState.ready
+        return not self.surveyed and self.is_registered()
+
+    def may_be_probed(self) -> bool:
+        """Return whether neither an order nor a probe is in progress."""
+        return self.order is None and not self.probing
 
     def offers(self, model: str) -> bool:
         """Return whether the engine may get new requests of a model.
--- a/cowsliprack/state/gateway_settings.py
+++ b/cowsliprack/state/gateway_settings.py
@@ -24,6 +24,9 @@
     :param retry_ratio: retries allowed per request, over all instances.
     :param retry_slack: additional retries allowed in one window, over all
         instances.
+    :param evacuation_seconds: time within which no instance may send to the
+        targets of an evacuated zone any more; 0 where zones are never
+        evacuated.
     """
 
     instance_id: str
@@ -47,3 +50,4 @@
     cores: float
     link_megabits: float
     max_relay_age_seconds: float
+    evacuation_seconds: float = 0
--- a/cowsliprack/state/routing_table.py
+++ b/cowsliprack/state/routing_table.py
@@ -96,12 +96,17 @@
     :param max_connections: limit of one target for the connections of all
         instances.
     :param health_path: path of the targets' health check.
+    :param cold_rate: requests per second that a cold target takes from all
+        instances together; 0 for no such limit.
+    :param cold_seconds: time for which a target is cold after its start.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None = None
     health_path: str = '/healthz'
+    cold_rate: float = 0
+    cold_seconds: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cowsliprack/state/target_registry.py
+++ b/cowsliprack/state/target_registry.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
+from cowsliprack.state.evacuations import Evacuations
 from cowsliprack.state.store_version import era_of
 
 
@@ -40,6 +41,8 @@
     :param in_memory: models with a copy of the weights in main memory.
     :param on_disk: models with a copy of the weights on disk.
     :param busy: whether an order is being carried out.
+    :param cold_seconds: time for which it was still cold when it wrote its
+        entry; see :mod:`cowsliprack.coordination.cold_targets`.
     """
 
     target_id: str
@@ -57,6 +60,7 @@
     in_memory: frozenset[str] = frozenset()
     on_disk: frozenset[str] = frozenset()
     busy: bool = False
+    cold_seconds: float = 0
 
     def without_engine_state(self) -> 'TargetRecord':
         """Return a copy with only the fields that request routing reads."""
@@ -67,6 +71,7 @@
             in_memory=frozenset(),
             on_disk=frozenset(),
             busy=False,
+            cold_seconds=0,
         )
 
 
@@ -86,6 +91,7 @@
         the store came back; they get no requests.
     :param leaving_born_by_id: start of the process of targets that have said in
         an answer that they are about to end; they get no requests either.
+    :param evacuations: availability zones whose targets get no requests.
     """
 
     revision: int = -1
@@ -96,6 +102,7 @@
     left_born_by_id: dict[str, int] = field(default_factory=dict)
     stale_ids: set[str] = field(default_factory=set)
     leaving_born_by_id: dict[str, int] = field(default_factory=dict)
+    evacuations: Evacuations = field(default_factory=Evacuations)
 
     def replace(
         self,
@@ -184,9 +191,7 @@
         return [
             record
             for record in self.service_targets(service)
-            if record.state is TargetState.ready
-            and record.target_id not in self.stale_ids
-            and not self._is_leaving(record)
+            if record.state is TargetState.ready and self._may_serve(record)
         ]
 
     def draining_targets(self, service: str) -> list[TargetRecord]:
@@ -198,9 +203,7 @@
         return [
             record
             for record in self.service_targets(service)
-            if record.state is TargetState.draining
-            and record.target_id not in self.stale_ids
-            and not self._is_leaving(record)
+            if record.state is TargetState.draining and self._may_serve(record)
         ]
 
     def mark_leaving(self, target_id: str) -> bool:
@@ -225,6 +228,13 @@
             for target_id in sorted(self.ids_by_service.get(service, ()))
         ]
 
+    def _may_serve(self, record: TargetRecord) -> bool:
+        return not (
+            record.target_id in self.stale_ids
+            or record.zone in self.evacuations.zones
+            or self._is_leaving(record)
+        )
+
     def _is_leaving(self, record: TargetRecord) -> bool:
         return self.leaving_born_by_id.get(record.target_id) == record.born
 
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -107,6 +107,9 @@
             self.bindings.decode_target,
             self._on_targets_changed,
             read_clock,
+            lambda record, left: self.region.conditions.record_cold(
+                record, left
+            ),
         )
         self.region = Region(
             RegionContext(
@@ -135,6 +138,7 @@
                 configuration_copy=self._copy_configuration,
                 apply_configuration_copy=self._apply_configuration_copy,
                 apply_relayed_targets=self.target_feed.apply_view,
+                read_notice=self.bindings.dialect.read_notice,
                 clock=read_clock,
             ),
         )
@@ -171,6 +175,7 @@
             demand_changed=self.region.demand_changed,
             clock=read_clock,
             instances=lambda: credit.instances,
+            cold_found=self.region.conditions.record_cold,
         )
         self.server = RouteServer(
             dialect=self.bindings.dialect,
@@ -202,6 +207,9 @@
         """Return whether the load balancer should send connections here."""
         # Without the list of targets every request would be rejected.
         knows_targets = self.fleet.registry.revision >= 0
+        if self.bindings.evacuations_kind:
+            feed = self.region.conditions.evacuation_feed
+            knows_targets = knows_targets and feed.is_known()
         knows_routes = self.table.generation > 0
         return not self.draining and knows_routes and knows_targets
 
@@ -232,6 +240,16 @@
                     _TARGET_BATCH_SECONDS,
                 ).run,
             )
+            if bindings.evacuations_kind:
+                tasks.start_soon(
+                    KindReader(
+                        bindings.store,
+                        bindings.evacuations_kind,
+                        bindings.evacuations_watch_seconds,
+                        self.region.conditions.evacuation_feed.apply_reading,
+                        self.region.conditions.reads_evacuations,
+                    ).run,
+                )
             tasks.start_soon(self._restore_secret)
             tasks.start_soon(self.region.run)
             tasks.start_soon(self._serve_http, stopped)
@@ -326,6 +344,11 @@
         self.metrics.generation.set({}, self.table.generation)
         self.metrics.leader.set({}, int(self.region.is_leading()))
         self.metrics.running.set({}, self.server.open_requests)
+        limits = self.region.context.target_selector.limits
+        self.metrics.cold_targets.set({}, limits.cold.count(read_clock()))
+        self.metrics.evacuated_zones.set(
+            {}, len(self.fleet.registry.evacuations.zones)
+        )
         self.metrics.loop_late.set({}, self.running_time.late_seconds)
         text, headers = self.metrics.render(['text/plain'])
         content_type = headers.get('Content-Type', 'text/plain')
--- a/cowsliprack/transport/reach_watch.py
+++ b/cowsliprack/transport/reach_watch.py
@@ -9,6 +9,7 @@
 from cowsliprack.coordination.reachability import Reachability
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.logs import log_decision
+from cowsliprack.protocol.dialect import HeaderPairs
 from cowsliprack.state.routing_table import RoutingTable, ServiceSpec
 from cowsliprack.state.target_registry import TargetRecord, TargetRegistry
 from cowsliprack.transport.bounded_body import read_body
@@ -30,6 +31,8 @@
     :param running_time: extends the timeout of the checks.
     :param table: returns the active routing table.
     :param clock: seconds; must keep running during suspension.
+    :param answered: called with a target and the status and headers of its
+        answer to a check.
     """
 
     registry: TargetRegistry
@@ -38,6 +41,7 @@
     running_time: RunningTime
     table: Callable[[], RoutingTable]
     clock: Callable[[], float]
+    answered: Callable[[TargetRecord, int, HeaderPairs], None]
     reachability: Reachability = field(init=False)
 
     def __post_init__(self) -> None:
@@ -100,18 +104,21 @@
     ) -> None:
         """Add the target to the reached ones if it gives any answer."""
         url = f'http://{record.address}{service.health_path}'
-        if await is_answering(self.client, self.running_time, url):
+        response = await check_health(self.client, self.running_time, url)
+        if response is not None:
             reached_ids.add(record.target_id)
+            self.answered(record, response.status_code, response.headers.raw)
 
 
-async def is_answering(
+async def check_health(
     client: httpx.AsyncClient, running_time: RunningTime, url: str
-) -> bool:
-    """Return whether a new connection gets the head of any answer.
+) -> httpx.Response | None:
+    """Return the answer to a check on a new connection; its body is read.
 
     :param client: HTTP client for targets.
     :param running_time: extends the timeout.
     :param url: of the health check.
+    :returns: ``None`` if no head of an answer arrives in time.
     """
     try:
         request = httpx.Request('GET', url, extensions={'fresh': True})
@@ -119,8 +126,20 @@
             response = await client.send(request, stream=True)
             await _finish(response)
     except (httpx.HTTPError, httpx.InvalidURL, TimeoutError):
-        return False
-    return True
+        return None
+    return response
+
+
+async def is_answering(
+    client: httpx.AsyncClient, running_time: RunningTime, url: str
+) -> bool:
+    """Return whether a new connection gets the head of any answer.
+
+    :param client: HTTP client for targets.
+    :param running_time: extends the timeout.
+    :param url: of the health check.
+    """
+    return await check_health(client, running_time, url) is not None
 
 
 async def _finish(response: httpx.Response) -> None:
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -34,6 +34,7 @@
 )
 from cowsliprack.protocol.message_level import (
     CREDIT_SHARES_LEVEL,
+    OVERLOAD_LEVEL,
     RECORDED_STREAMS_LEVEL,
     knows_announcements,
     message_level,
@@ -57,6 +58,7 @@
     PassMessage,
     RequestPassing,
 )
+from cowsliprack.transport.target_conditions import TargetConditions
 
 _LEASE_CHECK_INTERVAL_SECONDS = 0.1
 # Interval of reports to the leader when nothing has changed.
@@ -103,6 +105,7 @@
     origins: OriginExchange = field(init=False)
     passing: RequestPassing = field(init=False)
     reach_watch: ReachWatch = field(init=False)
+    conditions: TargetConditions = field(init=False)
     credit_asks: CreditAsks = field(init=False)
 
     def __post_init__(self) -> None:
@@ -135,6 +138,18 @@
                 context.fleet, context.freshness, context.clock()
             ),
         )
+        self.conditions = TargetConditions(
+            context.fleet.registry,
+            context.target_selector,
+            context.table,
+            context.read_notice,
+            self.registry_changed,
+            lambda: (
+                not self._leader_knows(OVERLOAD_LEVEL, self._leader_id)
+                or self.reads_store()
+            ),
+            context.clock,
+        )
         self.reach_watch = ReachWatch(
             context.fleet.registry,
             context.target_selector,
@@ -142,6 +157,7 @@
             context.running_time,
             context.table,
             context.clock,
+            self.conditions.record_health,
         )
         self.passing = RequestPassing(
             context.instance_id,
@@ -200,7 +216,7 @@
             self.term.apply_configuration()
 
     def registry_changed(self) -> None:
-        """Apply a new list of targets."""
+        """Apply a new list of targets, or other evacuated zones."""
         registry = self.context.fleet.registry
         self.context.fleet.registry_changed(self.context.clock())
         self.origins.registry_changed(registry)
@@ -387,9 +403,7 @@
             now,
         )
         self.context.credit.instances = view.members
-        self.context.target_selector.limits.apply_division(
-            view.limits, view.members, now
-        )
+        self.conditions.apply_view(view)
         self.origins.apply_peers(view)
         self._apply_credit_shares(view, now)
         self._store_limits = view.store_limits or self._store_limits
@@ -496,6 +510,7 @@
                 (), context.table().organisations_by_name, now
             )
         is_dividing = self._leader_knows(CREDIT_SHARES_LEVEL, self._leader_id)
+        knows_overload = self._leader_knows(OVERLOAD_LEVEL, self._leader_id)
         uses = context.credit.uses(now)
         self._sequence += 1
         report = MemberReport(
@@ -517,6 +532,7 @@
             peers_digest=self.origins.peers_digest,
             cut_off=self.reach_watch.has_lost_engines(),
             credit=uses if is_dividing else (),
+            **(self.conditions.report_fields() if knows_overload else {}),
         )
         is_silent = now - context.fleet.updated_at > _RECONNECT_AFTER_SECONDS
         if is_silent and now - self._reconnected_at > _RECONNECT_AFTER_SECONDS:
--- a/cowsliprack/transport/region_context.py
+++ b/cowsliprack/transport/region_context.py
@@ -10,6 +10,7 @@
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.coordination.token_credit import TokenCredit
 from cowsliprack.coordination.waiting_requests import WaitingRequests
+from cowsliprack.protocol.dialect import HeaderPairs, TargetNotice
 from cowsliprack.protocol.engine import EngineControl
 from cowsliprack.protocol.gateway_messages import LeaderView
 from cowsliprack.protocol.store import ObjectStore
@@ -38,6 +39,8 @@
     :param apply_configuration_copy: applies such a copy from the leader.
     :param apply_relayed_targets: applies the leader's list of targets; returns
         whether to report at once.
+    :param read_notice: returns what a target's response (status, headers) says
+        of the target.
     :param clock: seconds; must keep running during suspension.
     """
 
@@ -66,4 +69,5 @@
     configuration_copy: Callable[[], bytes]
     apply_configuration_copy: Callable[[bytes], None]
     apply_relayed_targets: Callable[[LeaderView], bool]
+    read_notice: Callable[[int, HeaderPairs], TargetNotice]
     clock: Callable[[], float]
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -41,6 +41,7 @@
 from cowsliprack.transport.request_passing import RequestPassing
 from cowsliprack.transport.routed_request import RoutedRequest
 from cowsliprack.transport.target_client import SendTrace
+from cowsliprack.transport.target_feed import ignore_cold
 from cowsliprack.transport.target_finder import TargetFinder, shutting_down
 
 # A target can do nothing useful in less time than this.
@@ -84,6 +85,8 @@
     :param instances: returns the number of instances that may send to the same
         targets.
     :param answers: the unfinished answers of all requests.
+    :param cold_found: called with a target and the seconds for which it says
+        that it stays cold; 0 if it does not say.
     :param ended: whether the instance stops and no request may go on.
     """
 
@@ -103,6 +106,7 @@
     rng: random.Random = field(default_factory=random.Random)
     budgets_by_service: dict[str, RetryBudget] = field(default_factory=dict)
     answers: AnswerMemory = field(default_factory=AnswerMemory)
+    cold_found: Callable[[TargetRecord, float], None] = ignore_cold
     ended: bool = False
     _scopes: set[anyio.CancelScope] = field(default_factory=set)
 
@@ -310,6 +314,7 @@
     ) -> None:
         now = self.clock()
         request.sends += 1
+        request.sent_at = now
         if target.target_id not in request.tried:
             request.tried.append(target.target_id)
         log_decision(
@@ -546,6 +551,7 @@
                 seconds=notice.retry_after,
                 service=target.service,
             )
+        self.cold_found(target, notice.cold_seconds)
         now = self.clock()
         pauses = self.target_selector.pauses
         pauses.record_answer(target.target_id, notice.brittle_rate, now)
@@ -651,6 +657,7 @@
         now = self.clock()
         self.target_selector.record_bytes(target.target_id, now, sent_at)
         self.poison.on_events(request.in_flight_id)
+        request.record_events(now)
         if not request.first_byte_at:
             self._record_first_byte(request, target, sent_at)
 
--- a/cowsliprack/transport/route_server.py
+++ b/cowsliprack/transport/route_server.py
@@ -44,6 +44,7 @@
 # Part of a request's time that is reserved for sending an error response.
 _REFUSAL_SECONDS = 0.08
 _HOST_HEADER = b'host'
+_MS = 1000
 _log = structlog.get_logger('cowsliprack.request')
 
 
@@ -350,12 +351,34 @@
             sends=request.sends if request else 0,
             may_have_run=request.is_in_doubt() if request else False,
             first_ms=request.first_byte_ms() if request else None,
+            **_timing(request),
             total_ms=round((now - arrived_at) * 1000),
             configuration=self.table().generation,
             proof_age_ms=round(min(self.freshness.age(now), 1e4) * 1000),
         )
 
 
+def _timing(request: RoutedRequest | None) -> dict[str, int | bool | None]:
+    """Return the log fields that explain why an answer is late."""
+    if request is None:
+        return {}
+    seconds_left = request.metadata.seconds_left
+    answered_in = request.first_byte_at - request.sent_at
+    return {
+        'last_send_ms': _ms(request.sent_at - request.arrived_at)
+        if request.sends
+        else None,
+        'answered_in_ms': _ms(answered_in) if request.first_byte_at else None,
+        'longest_pause_ms': _ms(request.longest_pause),
+        'stated_ms': None if seconds_left is None else _ms(seconds_left),
+        'has_come_back': request.has_come_back,
+    }
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * _MS)
+
+
 async def _cancel_on_disconnect(
     exchange: Exchange, scope: anyio.CancelScope
 ) -> None:
--- a/cowsliprack/transport/routed_request.py
+++ b/cowsliprack/transport/routed_request.py
@@ -45,6 +45,12 @@
     :param is_passed: whether another instance has passed it on to this one.
     :param may_pass_on: whether another instance may still take it over.
     :param splitter: splits the response's event stream into events.
+    :param first_byte_at: when the first event or the head of another answer
+        came from a target, seconds; 0 before that.
+    :param sent_at: when it was last sent to a target, seconds.
+    :param last_event_at: when the last events came from a target, seconds.
+    :param longest_pause: longest time between two events, seconds.
+    :param has_come_back: whether its caller seems to have been rejected before.
     """
 
     exchange: Exchange
@@ -74,6 +80,10 @@
     may_pass_on: bool = True
     splitter: EventSplitter = field(default_factory=EventSplitter)
     first_byte_at: float = 0
+    sent_at: float = 0
+    last_event_at: float = 0
+    longest_pause: float = 0
+    has_come_back: bool = False
     outcome: str = ''
 
     @property
@@ -99,6 +109,16 @@
             return None
         return round((self.first_byte_at - self.arrived_at) * 1000)
 
+    def record_events(self, now: float) -> None:
+        """Record that events of its stream have arrived.
+
+        :param now: seconds.
+        """
+        if self.last_event_at:
+            pause = now - self.last_event_at
+            self.longest_pause = max(self.longest_pause, pause)
+        self.last_event_at = now
+
     def is_in_doubt(self) -> bool:
         """Return whether a target may have run or may still run it."""
         is_send_open = self.trace is not None and self.trace.sent
--- a/cowsliprack/transport/target_feed.py
+++ b/cowsliprack/transport/target_feed.py
@@ -22,6 +22,10 @@
 _log = structlog.get_logger('cowsliprack.targets')
 
 
+def ignore_cold(_target: TargetRecord, _seconds: float) -> None:
+    """Treat a target that is cold like any other."""
+
+
 @dataclass(slots=True)
 class TargetFeed:
     """Keeps the registry of targets of one instance up to date.
@@ -29,12 +33,15 @@
     :param decode: decodes a stored target; ``None`` if the object names none.
     :param changed: called after each accepted change.
     :param clock: seconds; must keep running during suspension.
+    :param cold_found: called with each target read from the store and the
+        seconds for which it stays cold, unless these are 0.
     """
 
     registry: TargetRegistry
     decode: Callable[[str, Any], TargetRecord | None]
     changed: Callable[[], None]
     clock: Callable[[], float]
+    cold_found: Callable[[TargetRecord, float], None] = ignore_cold
     _era: int | None = None
     _era_seen_at: float = 0
 
@@ -58,6 +65,8 @@
         else:
             is_newer = registry.apply(changed, removed, reading.revision)
         self._expire_stale_targets()
+        if is_newer:
+            self._report_cold(changed)
         if is_newer and (whole or changed or removed):
             states = [
                 f'{record.target_id} {record.state.value} '
@@ -79,6 +88,11 @@
             self._announce_view(view)
         return is_newer and view.targets_complete
 
+    def _report_cold(self, records: list[TargetRecord]) -> None:
+        for record in records:
+            if record.cold_seconds:
+                self.cold_found(record, record.cold_seconds)
+
     def _announce_view(self, view: LeaderView) -> None:
         if view.targets or view.targets_gone:
             states = [
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -80,7 +80,11 @@
         self._check_reached(request)
         now = self.clock()
         seconds_left = request.metadata.seconds_left
-        self.stated_times.add(request.route.name, seconds_left, now)
+        if not request.sends:
+            self.stated_times.add(request.route.name, seconds_left, now)
+            request.has_come_back = self.stated_times.has_come_back(
+                request.route.name, seconds_left
+            )
         limits = self.target_selector.limits
         limited = self._limited_targets(request, now)
         limits.want(limited, now)
@@ -122,7 +126,7 @@
     def _limited_targets(self, request: RoutedRequest, now: float) -> list[str]:
         """Return the targets that could run a request and have a limit."""
         limits = self.target_selector.limits
-        if not limits.stated_by_id:
+        if not limits.has_any():
             return []
         allowed = self._allowed_targets(request, now)
         return limits.limited((record.target_id for record in allowed), now)
--- a/tests/support/region_world.py
+++ b/tests/support/region_world.py
@@ -192,6 +192,7 @@
         return SimpleNamespace(
             instance_id=instance_id,
             boot=new_process_id(),
+            read_notice=None,
             zone='z',
             region='r',
             address=instance_id,
