--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -669,6 +669,7 @@
     ) -> None:
         now = self.clock()
         request.first_byte_at = now
+        request.answered_in = now - sent_at
         self.target_selector.record_success(target.target_id, now - sent_at)
 
 
--- a/cowsliprack/transport/route_server.py
+++ b/cowsliprack/transport/route_server.py
@@ -363,12 +363,13 @@
     if request is None:
         return {}
     seconds_left = request.metadata.seconds_left
-    answered_in = request.first_byte_at - request.sent_at
     return {
         'last_send_ms': _ms(request.sent_at - request.arrived_at)
         if request.sends
         else None,
-        'answered_in_ms': _ms(answered_in) if request.first_byte_at else None,
+        'answered_in_ms': _ms(request.answered_in)
+        if request.first_byte_at
+        else None,
         'longest_pause_ms': _ms(request.longest_pause),
         'stated_ms': None if seconds_left is None else _ms(seconds_left),
         'has_come_back': request.has_come_back,
--- a/cowsliprack/transport/routed_request.py
+++ b/cowsliprack/transport/routed_request.py
@@ -48,6 +48,7 @@
     :param first_byte_at: when the first event or the head of another answer
         came from a target, seconds; 0 before that.
     :param sent_at: when it was last sent to a target, seconds.
+    :param answered_in: time from its send to its first byte, seconds.
     :param last_event_at: when the last events came from a target, seconds.
     :param longest_pause: longest time between two events, seconds.
     :param has_come_back: whether its caller seems to have been rejected before.
@@ -81,6 +82,7 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     first_byte_at: float = 0
     sent_at: float = 0
+    answered_in: float = 0
     last_event_at: float = 0
     longest_pause: float = 0
     has_come_back: bool = False
