--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -133,6 +133,7 @@
     _absences: AbsenceLedger = field(default_factory=AbsenceLedger)
     _loads_due: LoadsDueLedger = field(default_factory=LoadsDueLedger)
     _limit_reports: list[ReportedUses] = field(default_factory=list)
+    _cold_ids: frozenset[str] = frozenset()
     _peers: tuple[PeerView, ...] = ()
     _peers_digest: int = 0
 
@@ -367,7 +368,11 @@
             loads_due = self._loads_due.changes_since(base, now)
         cold: tuple[ColdShare, ...] = ()
         if level >= OVERLOAD_LEVEL:
-            cold = divide_cold_limits(report.instance_id, self._limit_reports)
+            cold = divide_cold_limits(
+                report.instance_id,
+                self._limit_reports,
+                self.member_count(now),
+            )
         return LeaderView(
             fencing=self.fencing,
             sequence=self.sequence,
@@ -394,10 +399,11 @@
             cold=cold,
         )
 
-    def apply_limits(self, now: float) -> None:
-        """Apply the limits that targets have named, for the next views.
+    def apply_limits(self, now: float) -> bool:
+        """Apply the limits of targets, for the next views.
 
         :param now: seconds.
+        :returns: whether a target has become cold since the last call.
         """
         self._limit_reports = [
             ReportedUses(
@@ -418,6 +424,11 @@
                     and stated.rate is not None
                     and stated.age < AVOIDED_SECONDS
                 )
+        known = self._cold_ids
+        self._cold_ids = frozenset(
+            use.target_id for one in self._limit_reports for use in one.cold
+        )
+        return not self._cold_ids <= known
 
     def successors(self, now: float) -> list[str]:
         """Return the other instances that reach the engines.
--- a/cowsliprack/coordination/target_limits.py
+++ b/cowsliprack/coordination/target_limits.py
@@ -371,34 +371,43 @@
 def divide_cold_limits(
     instance_id: str,
     reports: list[ReportedUses],
+    instances: int,
 ) -> tuple[ColdShare, ...]:
     """Return the shares of one instance of the limits of cold targets.
 
+    Instances that do not know yet that a target is cold, or are cut off, have
+    an even share, so that the sum of all shares never exceeds the limit.
+
     :param instance_id: id of the instance.
     :param reports: of all instances.
+    :param instances: number of instances, including those that are cut off.
     """
-    uses_by_instance = {one.instance_id: one.cold for one in reports}
-    longest: dict[str, ColdUse] = {}
+    shares = []
+    for target_id, cold in _coldest(reports).items():
+        uses_by_instance = {
+            report.instance_id: report.cold
+            for report in reports
+            if any(use.target_id == target_id for use in report.cold)
+        }
+        even_share = cold.rate / max(instances, 1)
+        share = even_share
+        if instance_id in uses_by_instance:
+            divided = min(even_share * len(uses_by_instance), cold.rate)
+            share = _share_of(instance_id, divided, target_id, uses_by_instance)
+        shares.append(ColdShare(target_id, cold.rate, cold.seconds_left, share))
+    return tuple(shares)
+
+
+def _coldest(reports: Iterable[ReportedUses]) -> dict[str, ColdUse]:
+    """Return the latest end that any instance states for each cold target."""
+    coldest: dict[str, ColdUse] = {}
     for report in reports:
         for use in report.cold:
             left = use.seconds_left - report.age
-            known = longest.get(use.target_id)
+            known = coldest.get(use.target_id)
             if left > 0 and (known is None or known.seconds_left < left):
-                longest[use.target_id] = ColdUse(use.target_id, use.rate, left)
-    return tuple(
-        ColdShare(
-            target_id,
-            cold.rate,
-            cold.seconds_left,
-            _share_of(
-                instance_id,
-                cold.rate,
-                target_id,
-                uses_by_instance,
-            ),
-        )
-        for target_id, cold in longest.items()
-    )
+                coldest[use.target_id] = ColdUse(use.target_id, use.rate, left)
+    return coldest
 
 
 def _share_of(
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -148,6 +148,7 @@
                 not self._leader_knows(OVERLOAD_LEVEL, self._leader_id)
                 or self.reads_store()
             ),
+            self.demand_changed,
             context.clock,
         )
         self.reach_watch = ReachWatch(
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -365,7 +365,7 @@
             return
         now = self._context.clock()
         self.state.count_running(now)
-        self.state.apply_limits(now)
+        has_new_cold = self.state.apply_limits(now)
         for suspect in self.state.suspects(now):
             self._tasks.start_soon(self._executor.check_silent, suspect)
         may_order = self.lease_left() > 0
@@ -388,9 +388,8 @@
         has_new_peers = self.state.refresh_peers(now)
         has_new_views = self.state.refresh_views(now)
         has_new_absences = self.state.refresh_absences(now)
-        self._send_views(
-            to_all=has_new_views or has_new_peers or has_new_absences
-        )
+        has_news = has_new_views or has_new_peers or has_new_absences
+        self._send_views(to_all=has_news or has_new_cold)
 
     def _is_first_term(self) -> bool:
         """Return whether no leader of the region can have granted anything."""
--- a/cowsliprack/transport/target_conditions.py
+++ b/cowsliprack/transport/target_conditions.py
@@ -27,6 +27,7 @@
     :param reads_evacuations: returns whether this instance must read the
         evacuated zones itself; a leader of an earlier build does not relay
         them.
+    :param report_due: called when the leader should learn of a cold target.
     :param clock: seconds; must keep running during suspension.
     """
 
@@ -36,6 +37,7 @@
     read_notice: Callable[[int, HeaderPairs], TargetNotice]
     changed: Callable[[], None]
     reads_evacuations: Callable[[], bool]
+    report_due: Callable[[], None]
     clock: Callable[[], float]
     evacuation_feed: EvacuationFeed = field(init=False)
 
@@ -59,6 +61,7 @@
             record.target_id, service.cold_rate, seconds, self.clock()
         )
         if is_new:
+            self.report_due()
             log_decision(
                 'target_cold',
                 record.target_id,
