Find the pace of targets that start, recover or are full

A target that has just started or recovered was flooded by all instances at once, or left idle for up to 4 s by those that had seen it fail. A state machine per target (cold, recovering, full, well) now grows and shrinks the requests that it should run, from the answers that all instances count; the leader returns it with its views.

--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -17,6 +17,7 @@
     divide_limits,
     newest_limits,
 )
+from cowsliprack.coordination.target_pace import RegionPaces
 from cowsliprack.protocol.engine import EngineSurvey
 from cowsliprack.protocol.gateway_messages import (
     EngineView,
@@ -33,7 +34,7 @@
     OVERLOAD_LEVEL,
     message_level,
 )
-from cowsliprack.protocol.overload_messages import ColdShare
+from cowsliprack.protocol.overload_messages import ColdShare, PaceView
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder, EngineState
 from cowsliprack.state.routing_table import RoutingTable
@@ -134,6 +135,8 @@
     _loads_due: LoadsDueLedger = field(default_factory=LoadsDueLedger)
     _limit_reports: list[ReportedUses] = field(default_factory=list)
     _cold_ids: frozenset[str] = frozenset()
+    _paces: RegionPaces = field(default_factory=RegionPaces)
+    _slots_by_id: dict[str, int] = field(default_factory=dict)
     _peers: tuple[PeerView, ...] = ()
     _peers_digest: int = 0
 
@@ -177,6 +180,11 @@
         :param registry: the registry as last read.
         """
         unknown = []
+        self._slots_by_id = {
+            target_id: record.slots
+            for target_id, record in registry.records_by_id.items()
+        }
+        self._paces.prune(self._slots_by_id)
         for service, scheduler in self.schedulers_by_service.items():
             records_by_id = {
                 record.target_id: record
@@ -203,6 +211,18 @@
             if previous.report.sequence >= report.sequence:
                 return False
         self._count_started(previous, report, now)
+        self._paces.apply_report(
+            report.boot,
+            report.paces,
+            self._slots_by_id,
+            {
+                target_id: view.running
+                for target_id, view in self._views_by_id.items()
+            }
+            if report.paces
+            else {},
+            now,
+        )
         member = previous or Member(report, now)
         member.report = report
         member.seen_at = now
@@ -367,7 +387,9 @@
         if level >= LOADS_DUE_LEVEL:
             loads_due = self._loads_due.changes_since(base, now)
         cold: tuple[ColdShare, ...] = ()
+        paces: tuple[PaceView, ...] = ()
         if level >= OVERLOAD_LEVEL:
+            paces = self._paces.views(now)
             cold = divide_cold_limits(
                 report.instance_id,
                 self._limit_reports,
@@ -397,6 +419,7 @@
             absences=absences,
             loads_due=loads_due,
             cold=cold,
+            paces=paces,
         )
 
     def apply_limits(self, now: float) -> bool:
--- a/cowsliprack/coordination/target_selector.py
+++ b/cowsliprack/coordination/target_selector.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from cowsliprack.coordination.target_limits import TargetLimits
+from cowsliprack.coordination.target_pace import TargetPaces
 from cowsliprack.coordination.target_pauses import TargetPauses
 from cowsliprack.protocol.gateway_messages import EngineUse
 from cowsliprack.state.target_registry import TargetRecord
@@ -79,6 +80,7 @@
     :param started_by_model: number of requests ever started.
     :param limits: request rates that targets have named.
     :param pauses: times in which targets want no requests.
+    :param paces: how many requests targets should run at a time.
     """
 
     zone: str
@@ -90,6 +92,7 @@
     started_by_model: Counter[str] = field(default_factory=Counter)
     limits: TargetLimits = field(default_factory=TargetLimits)
     pauses: TargetPauses = field(default_factory=TargetPauses)
+    paces: TargetPaces = field(default_factory=TargetPaces)
     _names_by_id: dict[str, Counter[str]] = field(default_factory=dict)
     _last_by_prompt: dict[str, str] = field(default_factory=dict)
 
@@ -291,6 +294,18 @@
             health.avoided_until = 0
             health.failures = 0
 
+    def record_answered_elsewhere(self, target_id: str) -> None:
+        """Record that a target has just answered another instance in time.
+
+        It is not avoided any more for requests of this instance that failed;
+        connections that fail from here still are.
+
+        :param target_id: id of the target.
+        """
+        health = self.health_by_id.get(target_id)
+        if health is not None and health.unreachable_since is None:
+            health.avoided_until = 0
+
     def has_answered_since(self, target_id: str, since: float) -> bool:
         """Return whether bytes of a response have arrived since a time.
 
@@ -336,6 +351,7 @@
         kept = set(known).union(+self.own_by_id)
         self.limits.prune(kept)
         self.pauses.prune(kept)
+        self.paces.prune(kept)
         for state_by_id in (
             self.own_by_id,
             self.reported_by_id,
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -3,7 +3,12 @@
 import msgspec
 
 from cowsliprack.protocol.credit_messages import CreditShare, CreditUse
-from cowsliprack.protocol.overload_messages import ColdShare, ColdUse
+from cowsliprack.protocol.overload_messages import (
+    ColdShare,
+    ColdUse,
+    PaceUse,
+    PaceView,
+)
 from cowsliprack.protocol.peer_message import PeerMessage
 
 
@@ -98,7 +103,8 @@
     :param credit: its demand by organisation; only for leaders of message level
         3 or higher.
     :param cold: targets that it knows to be cold; only for leaders of message
-        level 6 or higher.
+        level 6 or higher, like the following field.
+    :param paces: answers of targets that are not well, or were not lately.
     """
 
     instance_id: str
@@ -121,6 +127,7 @@
     cut_off: bool = False
     credit: tuple[CreditUse, ...] = ()
     cold: tuple[ColdUse, ...] = ()
+    paces: tuple[PaceUse, ...] = ()
 
 
 class EngineView(msgspec.Struct, frozen=True, array_like=True):
@@ -258,6 +265,7 @@
         higher.
     :param cold: limits of cold targets and the member's shares of them; only
         for members of message level 6 or higher, like the following fields.
+    :param paces: targets that are not well.
     :param evacuations_revision: revision of the leader's reading of the
         evacuated zones; -1 for none.
     :param evacuations_era: era of that revision.
@@ -291,6 +299,7 @@
     loads_due: tuple[LoadDue, ...] = ()
     credit: tuple[CreditShare, ...] | None = None
     cold: tuple[ColdShare, ...] = ()
+    paces: tuple[PaceView, ...] = ()
     evacuations_revision: int = -1
     evacuations_era: int = 0
     evacuated_zones: tuple[str, ...] = ()
--- a/cowsliprack/protocol/message_level.py
+++ b/cowsliprack/protocol/message_level.py
@@ -19,7 +19,8 @@
 # Also raised with what an instance does:
 # 5: it rests between two terms as leader.
 # Again with messages and fields:
-# 6: evacuated zones, cold targets and the leader's division of their limits.
+# 6: evacuated zones, cold targets and the leader's division of their limits,
+#    and paces of targets.
 MESSAGE_LEVEL = 6
 ABSENCES_LEVEL = 1
 LOADS_DUE_LEVEL = 2
--- a/cowsliprack/protocol/overload_messages.py
+++ b/cowsliprack/protocol/overload_messages.py
@@ -31,3 +31,37 @@
     rate: float
     seconds_left: float
     share: float
+
+
+class PaceUse(msgspec.Struct, frozen=True, array_like=True):
+    """Answers of a target that an instance has counted since its start.
+
+    :param in_time: answers without a late first byte or a long pause.
+    :param late: the others.
+    :param refused: requests that it turned away for want of room.
+    :param broken: requests whose connection failed.
+    :param is_recovering: whether it has just started or failed, as far as the
+        instance knows.
+    """
+
+    target_id: str
+    in_time: int
+    late: int
+    refused: int
+    broken: int
+    is_recovering: bool = False
+
+
+class PaceView(msgspec.Struct, frozen=True, array_like=True):
+    """Pace of a target that is not well, as the leader has found it.
+
+    :param state: see :class:`cowsliprack.coordination.target_pace.PaceState`.
+    :param places: requests of all instances that it should run at a time.
+    :param answered_age: seconds since any instance had an answer in time;
+        negative if none had.
+    """
+
+    target_id: str
+    state: str
+    places: float
+    answered_age: float
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -221,6 +221,7 @@
         registry = self.context.fleet.registry
         self.context.fleet.registry_changed(self.context.clock())
         self.origins.registry_changed(registry)
+        self.conditions.registry_changed()
         self.context.target_selector.prune(registry.records_by_id)
         self.context.waiting_requests.notify_all()
         if self.term is not None:
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -1,5 +1,6 @@
 """Forwards routed requests to targets and their responses to callers."""
 
+import math
 import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -222,10 +223,7 @@
             request.may_have_run = True
             request.ran_on.add(target.target_id)
             request.runs += 1
-        if failure.unreachable:
-            self.target_selector.record_unreachable(target.target_id, now)
-        else:
-            self.target_selector.record_failure(target.target_id, now)
+        _record_failure(self.target_selector, target, failure, now)
         retry, reason = self._may_retry(request, failure, now)
         log_decision(
             'retry',
@@ -352,6 +350,12 @@
         )
         try:
             await self._exchange(request, target, now)
+            self.target_selector.paces.record_answer(
+                target.target_id,
+                target.slots,
+                self.clock(),
+                is_late=request.was_answered_late(),
+            )
         finally:
             self.poison.tracker.remove_in_flight(request.in_flight_id)
             self._record_end(request, target)
@@ -487,7 +491,7 @@
                 Ran.may_have_run,
             )
         self._record_limit(target, headers)
-        self._record_notice(target, status, headers)
+        self._record_notice(target, status, headers, request.metadata.model)
         if self.dialect.is_not_run_response(status, headers):
             if self.dialect.is_misdirected(status):
                 self.fleet.mark_missing(
@@ -530,7 +534,11 @@
             )
 
     def _record_notice(
-        self, target: TargetRecord, status: int, headers: HeaderPairs
+        self,
+        target: TargetRecord,
+        status: int,
+        headers: HeaderPairs,
+        model: str,
     ) -> None:
         """Apply what a target says of itself."""
         notice = self.dialect.read_notice(status, headers)
@@ -558,6 +566,14 @@
         is_rejected = self.dialect.is_not_run_response(status, headers) and (
             not self.dialect.is_misdirected(status)
         )
+        if is_rejected:
+            selector = self.target_selector
+            running = math.inf
+            if model:
+                running = selector.running(target.target_id)
+            selector.paces.record_refusal(
+                target.target_id, target.slots, running, now
+            )
         if is_rejected or notice.retry_after:
             pauses.record_rejection(
                 target.target_id, notice.retry_after, self.instances(), now
@@ -673,6 +689,20 @@
         self.target_selector.record_success(target.target_id, now - sent_at)
 
 
+def _record_failure(
+    selector: TargetSelector,
+    target: TargetRecord,
+    failure: TargetError,
+    now: float,
+) -> None:
+    if failure.unreachable:
+        selector.record_unreachable(target.target_id, now)
+    else:
+        selector.record_failure(target.target_id, now)
+    if not isinstance(failure, _NotRunError | _ServerFailureError):
+        selector.paces.record_broken(target.target_id, target.slots, now)
+
+
 def _check_order(events: bytes, last_event_id: str) -> None:
     """Check that events go on where the caller's stream has got to.
 
--- a/cowsliprack/transport/routed_request.py
+++ b/cowsliprack/transport/routed_request.py
@@ -121,6 +121,17 @@
             self.longest_pause = max(self.longest_pause, pause)
         self.last_event_at = now
 
+    def was_answered_late(self) -> bool:
+        """Return whether the target answered later than callers need.
+
+        The time before the last send does not count.
+        """
+        route = self.route
+        if route.latency_target and self.answered_in > route.latency_target:
+            return True
+        has_gap_target = route.streams and route.max_event_gap > 0
+        return has_gap_target and self.longest_pause > route.max_event_gap
+
     def is_in_doubt(self) -> bool:
         """Return whether a target may have run or may still run it."""
         is_send_open = self.trace is not None and self.trace.sent
--- a/cowsliprack/transport/target_conditions.py
+++ b/cowsliprack/transport/target_conditions.py
@@ -40,6 +40,7 @@
     report_due: Callable[[], None]
     clock: Callable[[], float]
     evacuation_feed: EvacuationFeed = field(init=False)
+    _born_by_id: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Begin without a reading."""
@@ -61,6 +62,9 @@
             record.target_id, service.cold_rate, seconds, self.clock()
         )
         if is_new:
+            self.selector.paces.record_start(
+                record.target_id, record.slots, self.clock()
+            )
             self.report_due()
             log_decision(
                 'target_cold',
@@ -92,12 +96,39 @@
         now = self.clock()
         limits.apply_division(view.limits, view.members, now)
         limits.cold.apply_division(view.cold, now)
+        answered = self.selector.paces.apply_views(
+            view.paces, view.members, now
+        )
+        for pace in answered:
+            self.selector.record_answered_elsewhere(pace.target_id)
         self.evacuation_feed.apply_view(view)
 
+    def registry_changed(self) -> None:
+        """Begin with few requests to targets that have started since."""
+        now = self.clock()
+        known = self._born_by_id
+        self._born_by_id = {
+            record.target_id: record.born
+            for record in self.registry.records_by_id.values()
+        }
+        # What was there before this instance is taken to be well.
+        started = [
+            target_id
+            for target_id, born in self._born_by_id.items()
+            if known and known.get(target_id) != born
+        ]
+        for target_id in started:
+            slots = self.registry.records_by_id[target_id].slots
+            self.selector.paces.record_start(target_id, slots, now)
+
     def report_fields(self) -> dict[str, Any]:
         """Return the fields of a report for leaders of ``OVERLOAD_LEVEL``."""
         limits = self.selector.limits
-        return {'cold': limits.cold.uses(limits.wanted, self.clock())}
+        now = self.clock()
+        return {
+            'cold': limits.cold.uses(limits.wanted, now),
+            'paces': self.selector.paces.uses(now),
+        }
 
     def _apply_return(self, record: TargetRecord) -> None:
         """Count a target of a zone that is taken back as cold.
--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -322,8 +322,13 @@
 
     def _has_room(self, record: TargetRecord, now: float) -> bool:
         selector = self.target_selector
-        running = selector.running(record.target_id)
-        return selector.pauses.may_send(record, running, now)
+        target_id = record.target_id
+        running = selector.running(target_id)
+        return selector.pauses.may_send(
+            record, running, now
+        ) and selector.paces.may_send(
+            target_id, selector.own_by_id[target_id], now
+        )
 
     def _check_pauses(
         self, request: RoutedRequest, seconds_left: float, now: float
@@ -348,10 +353,12 @@
 
         :returns: 0 if there is no such target.
         """
-        pauses = self.target_selector.pauses
+        selector = self.target_selector
         left = [
-            pauses.seconds_left(record.target_id, now)
+            selector.pauses.seconds_left(target_id, now)
+            or selector.paces.seconds_until_growth(target_id, now)
             for record in self._allowed_targets(request, now)
+            if (target_id := record.target_id)
         ]
         return min(filter(None, left), default=0)
 
