--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -115,6 +115,7 @@
     :param first_turns: by service and model, when the last leader expected the
         end of a load that had not begun, seconds.
     :param sequence: incremented with each change of an engine view.
+    :param paces: how many requests targets should run at a time.
     """
 
     fencing: int
@@ -128,6 +129,7 @@
     first_loads: Mapping[tuple[str, str], float] = field(default_factory=dict)
     first_turns: Mapping[tuple[str, str], float] = field(default_factory=dict)
     sequence: int = 1
+    paces: RegionPaces = field(default_factory=RegionPaces)
     _views_by_id: dict[str, EngineView] = field(default_factory=dict)
     _changed_by_id: dict[str, int] = field(default_factory=dict)
     _gone_by_id: dict[str, int] = field(default_factory=dict)
@@ -135,7 +137,6 @@
     _loads_due: LoadsDueLedger = field(default_factory=LoadsDueLedger)
     _limit_reports: list[ReportedUses] = field(default_factory=list)
     _cold_ids: frozenset[str] = frozenset()
-    _paces: RegionPaces = field(default_factory=RegionPaces)
     _slots_by_id: dict[str, int] = field(default_factory=dict)
     _peers: tuple[PeerView, ...] = ()
     _peers_digest: int = 0
@@ -184,7 +185,7 @@
             target_id: record.slots
             for target_id, record in registry.records_by_id.items()
         }
-        self._paces.prune(self._slots_by_id)
+        self.paces.prune(self._slots_by_id)
         for service, scheduler in self.schedulers_by_service.items():
             records_by_id = {
                 record.target_id: record
@@ -211,7 +212,7 @@
             if previous.report.sequence >= report.sequence:
                 return False
         self._count_started(previous, report, now)
-        self._paces.apply_report(
+        self.paces.apply_report(
             report.boot,
             report.paces,
             self._slots_by_id,
@@ -389,7 +390,7 @@
         cold: tuple[ColdShare, ...] = ()
         paces: tuple[PaceView, ...] = ()
         if level >= OVERLOAD_LEVEL:
-            paces = self._paces.views(now)
+            paces = self.paces.views(now)
             cold = divide_cold_limits(
                 report.instance_id,
                 self._limit_reports,
--- a/cowsliprack/coordination/target_pace.py
+++ b/cowsliprack/coordination/target_pace.py
@@ -339,6 +339,16 @@
             if 0 <= view.answered_age < _REPORTED_SECONDS
         ]
 
+    def count(self, now: float) -> int:
+        """Return the number of targets that are not well.
+
+        :param now: seconds.
+        """
+        known = self._told_by_id.keys() | self._observed_by_id.keys()
+        return sum(
+            math.isfinite(self.places(target_id, now)) for target_id in known
+        )
+
     def prune(self, known: Iterable[str]) -> None:
         """Remove the state of targets that no longer exist.
 
@@ -364,6 +374,7 @@
     """
 
     pace_by_id: dict[str, TargetPace] = field(default_factory=dict)
+    _logged_by_id: dict[str, PaceState] = field(default_factory=dict)
     _counts_by_source: dict[tuple[str, str], AnswerCounts] = field(
         default_factory=dict
     )
@@ -426,6 +437,18 @@
             if pace.state is not PaceState.well
         )
 
+    def changed(self) -> list[tuple[str, TargetPace]]:
+        """Return the targets whose state has changed since the last call."""
+        changed = [
+            (target_id, pace)
+            for target_id, pace in self.pace_by_id.items()
+            if self._logged_by_id.get(target_id, PaceState.well)
+            is not pace.state
+        ]
+        for target_id, pace in changed:
+            self._logged_by_id[target_id] = pace.state
+        return changed
+
     def prune(self, known: Iterable[str]) -> None:
         """Forget targets that no longer exist.
 
@@ -434,6 +457,7 @@
         kept = set(known)
         for target_id in set(self.pace_by_id).difference(kept):
             self.pace_by_id.pop(target_id)
+            self._logged_by_id.pop(target_id, None)
         self._counts_by_source = {
             source: counts
             for source, counts in self._counts_by_source.items()
--- a/cowsliprack/metrics.py
+++ b/cowsliprack/metrics.py
@@ -55,6 +55,10 @@
             'cowsliprack_cold_targets',
             'Targets whose requests are limited because they are cold.',
         )
+        self.paced_targets = self._gauge(
+            'cowsliprack_paced_targets',
+            'Targets that start, recover or are full, and get fewer requests.',
+        )
         self.loop_late = self._gauge(
             'cowsliprack_loop_late_seconds',
             'Time for which the event loop was held up during deadlines.',
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -344,8 +344,10 @@
         self.metrics.generation.set({}, self.table.generation)
         self.metrics.leader.set({}, int(self.region.is_leading()))
         self.metrics.running.set({}, self.server.open_requests)
-        limits = self.region.context.target_selector.limits
-        self.metrics.cold_targets.set({}, limits.cold.count(read_clock()))
+        selector = self.region.context.target_selector
+        now = read_clock()
+        self.metrics.cold_targets.set({}, selector.limits.cold.count(now))
+        self.metrics.paced_targets.set({}, selector.paces.count(now))
         self.metrics.evacuated_zones.set(
             {}, len(self.fleet.registry.evacuations.zones)
         )
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -22,6 +22,7 @@
 from cowsliprack.coordination.region_state import Member, RegionState
 from cowsliprack.coordination.relayed_targets import registry_changes
 from cowsliprack.coordination.succession import PastLeaders
+from cowsliprack.coordination.target_pace import RegionPaces
 from cowsliprack.coordination.token_credit import LeaderTokenCredit
 from cowsliprack.logs import log_decision
 from cowsliprack.protocol.credit_messages import CreditShare
@@ -373,6 +374,7 @@
         for engine, order in orders:
             self._tasks.start_soon(self._executor.execute, engine, order)
         self._log_missing_weights(now)
+        _log_paces(self.state.paces)
         organisations = self._context.table().organisations_by_name.values()
         instances = self.state.member_count(now)
         self._settle_shares(now)
@@ -518,6 +520,17 @@
         self._deliver(ask.instance_id, '', answer)
 
 
+def _log_paces(paces: RegionPaces) -> None:
+    for target_id, pace in paces.changed():
+        log_decision(
+            'target_pace',
+            target_id,
+            'answers of the target, as all instances have seen them',
+            state=pace.state.value,
+            places=None if math.isinf(pace.places) else pace.places,
+        )
+
+
 def _batch_seconds(members: int) -> float:
     return max(_MIN_BATCH_SECONDS, members * _BATCH_SECONDS_PER_MEMBER)
 
