Conclude nothing on the pace of a target from a lost path to it

Only requests that were sent count now, two of them at least, and members report how many requests the target runs for them.

--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -216,12 +216,6 @@
             report.boot,
             report.paces,
             self._slots_by_id,
-            {
-                target_id: view.running
-                for target_id, view in self._views_by_id.items()
-            }
-            if report.paces
-            else {},
             now,
         )
         member = previous or Member(report, now)
--- a/cowsliprack/coordination/target_pace.py
+++ b/cowsliprack/coordination/target_pace.py
@@ -30,6 +30,9 @@
 _GROWTH_FACTOR = 2.0
 # Share of late answers in a round above which the places stay as they are.
 _MAX_LATE_SHARE = 0.25
+# Connections that may fail in a round without an answer although the target has
+# not crashed.
+_MAX_BROKEN = 1
 # Places that are left when a target has turned requests away.
 _REFUSAL_FACTOR = 0.8
 # Share of its slots that a target runs at least when a refusal means that it is
@@ -128,7 +131,8 @@
         """Apply answers since the last call; rounds end with such a call.
 
         :param counts: answers.
-        :param running: requests that the target runs now; ``inf`` if unknown.
+        :param running: requests of all instances that it runs, as far as they
+            are known.
         :param now: seconds.
         """
         if counts.in_time:
@@ -137,14 +141,15 @@
         if now < self._round_ends_at:
             return
         seen = self._round
-        if seen.broken > seen.in_time + seen.late:
+        answered = seen.in_time + seen.late
+        if seen.broken > max(answered, _MAX_BROKEN):
             self.recover(now)
             return
         if self.state is PaceState.recovering:
             self._grow_recovering(seen, running)
         elif seen.refused:
             self.state = PaceState.full
-            most = min(self.places, running, self.slots)
+            most = min(self.places, self.slots)
             self.places = max(most * _REFUSAL_FACTOR, 1)
         elif self.state is PaceState.full and not seen.refused:
             self.places += max(self.slots * _REGAIN_SHARE, 1)
@@ -296,12 +301,15 @@
         is_well = math.isinf(self.places(target_id, now))
         return 0 if is_well else ROUND_SECONDS
 
-    def uses(self, now: float) -> tuple[PaceUse, ...]:
+    def uses(
+        self, running_by_id: Mapping[str, int], now: float
+    ) -> tuple[PaceUse, ...]:
         """Return what the leader needs to find the paces.
 
         Targets that are well and of which nothing was lately seen but answers
         are left out, so that reports cost nothing while all is well.
 
+        :param running_by_id: running requests of this instance.
         :param now: seconds.
         """
         return tuple(
@@ -311,6 +319,7 @@
                 observed.counts.late,
                 observed.counts.refused,
                 observed.counts.broken,
+                running_by_id.get(target_id, 0),
                 observed.pace.state is PaceState.recovering,
             )
             for target_id, observed in self._observed_by_id.items()
@@ -366,6 +375,19 @@
         return observed
 
 
+@dataclass(frozen=True, slots=True)
+class _Reported:
+    """Last report of a process on a target.
+
+    :param running: requests of the instance that the target runs.
+    :param at: when the report arrived, seconds.
+    """
+
+    counts: AnswerCounts
+    running: int = 0
+    at: float = -math.inf
+
+
 @dataclass(slots=True)
 class RegionPaces:
     """Paces of targets as the leader finds them from all reports.
@@ -375,7 +397,8 @@
 
     pace_by_id: dict[str, TargetPace] = field(default_factory=dict)
     _logged_by_id: dict[str, PaceState] = field(default_factory=dict)
-    _counts_by_source: dict[tuple[str, str], AnswerCounts] = field(
+    # By target and process.
+    _reports_by_id: dict[str, dict[str, _Reported]] = field(
         default_factory=dict
     )
 
@@ -384,7 +407,6 @@
         process_id: str,
         uses: Iterable[PaceUse],
         slots_by_id: Mapping[str, int],
-        running_by_id: Mapping[str, float],
         now: float,
     ) -> None:
         """Apply the counters of one instance.
@@ -395,29 +417,29 @@
         :param process_id: id of the instance's process.
         :param uses: its counters.
         :param slots_by_id: slots of the targets; others are ignored.
-        :param running_by_id: running requests of all instances.
         :param now: seconds.
         """
         for use in uses:
             if use.target_id not in slots_by_id:
                 continue
-            source = (process_id, use.target_id)
             counts = AnswerCounts(
                 use.in_time, use.late, use.refused, use.broken
             )
-            before = self._counts_by_source.get(source, counts)
-            self._counts_by_source[source] = counts
+            reports = self._reports_by_id.setdefault(use.target_id, {})
+            before = reports.get(process_id, _Reported(counts)).counts
+            reports[process_id] = _Reported(counts, use.running, now)
             pace = self.pace_by_id.get(use.target_id)
             if pace is None:
                 pace = TargetPace(slots_by_id[use.target_id])
                 self.pace_by_id[use.target_id] = pace
                 if use.is_recovering:
                     pace.recover(now)
-            pace.observe(
-                counts.since(before),
-                running_by_id.get(use.target_id, math.inf),
-                now,
+            running = sum(
+                one.running
+                for one in reports.values()
+                if now - one.at < _REPORTED_SECONDS
             )
+            pace.observe(counts.since(before), running, now)
 
     def views(self, now: float) -> tuple[PaceView, ...]:
         """Return the targets that are not well.
@@ -458,8 +480,4 @@
         for target_id in set(self.pace_by_id).difference(kept):
             self.pace_by_id.pop(target_id)
             self._logged_by_id.pop(target_id, None)
-        self._counts_by_source = {
-            source: counts
-            for source, counts in self._counts_by_source.items()
-            if source[1] in kept
-        }
+            self._reports_by_id.pop(target_id, None)
--- a/cowsliprack/protocol/overload_messages.py
+++ b/cowsliprack/protocol/overload_messages.py
@@ -40,6 +40,7 @@
     :param late: the others.
     :param refused: requests that it turned away for want of room.
     :param broken: requests whose connection failed.
+    :param running: requests of the instance that the target runs now.
     :param is_recovering: whether it has just started or failed, as far as the
         instance knows.
     """
@@ -49,6 +50,7 @@
     late: int
     refused: int
     broken: int
+    running: int
     is_recovering: bool = False
 
 
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -696,9 +696,10 @@
     now: float,
 ) -> None:
     if failure.unreachable:
+        # The path to the target may have failed rather than the target.
         selector.record_unreachable(target.target_id, now)
-    else:
-        selector.record_failure(target.target_id, now)
+        return
+    selector.record_failure(target.target_id, now)
     if not isinstance(failure, _NotRunError | _ServerFailureError):
         selector.paces.record_broken(target.target_id, target.slots, now)
 
--- a/cowsliprack/transport/target_conditions.py
+++ b/cowsliprack/transport/target_conditions.py
@@ -127,7 +127,7 @@
         now = self.clock()
         return {
             'cold': limits.cold.uses(limits.wanted, now),
-            'paces': self.selector.paces.uses(now),
+            'paces': self.selector.paces.uses(self.selector.own_by_id, now),
         }
 
     def _apply_return(self, record: TargetRecord) -> None:
--- a/tests/coordination/target_pace.feature
+++ b/tests/coordination/target_pace.feature
@@ -35,6 +35,7 @@
     Examples:
       | case                         | in time | late | broken |
       | one connection among answers | 5       | 0    | 1      |
+      | one connection, no answer    | 0       | 0    | 1      |
       | all answers late             | 0       | 9    | 0      |
 
   Scenario Outline: A target that comes back beside <instances> instances with more requests than it can run
