--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -145,8 +145,9 @@
             context.read_notice,
             self.registry_changed,
             lambda: (
-                not self._leader_knows(OVERLOAD_LEVEL, self._leader_id)
-                or self.reads_store()
+                self.reads_store()
+                or bool(self.origins.peers)
+                and not self._leader_knows(OVERLOAD_LEVEL, self._leader_id)
             ),
             self.demand_changed,
             context.clock,
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -145,6 +145,8 @@
         self.cut = Cut()
         # Folders of the builds of gateways that do not run this one.
         self.build_by_name = {}
+        # Further lines of the settings file.
+        self.settings_lines = ()
         self._folder = tempfile.TemporaryDirectory()
         self._started = threading.Event()
         self._loop = None
@@ -269,7 +271,8 @@
             f'bounds.lease_ms={self.lease_ms}\n'
             'bounds.grace_s=6\nbounds.revoke_ms=3000\n'
             'bounds.quota_slack=2000\nbounds.budget_slack=50\n'
-            'a line that is no setting\nunknown.field=7\n',
+            'a line that is no setting\nunknown.field=7\n'
+            + ''.join(f'{line}\n' for line in self.settings_lines),
         )
         self.log_path = Path(self._folder.name) / f'{name}.log'
         with open(self.log_path, 'ab') as log:
