Report late and paused requests by model to the leader

The leader knows how many requests run on each engine, but not whether they start late or pause, so it can't tell which models need more replicas. Instances count late and paused requests by model since their start and report the counters to leaders of message level 6. Requests begun are in started_by_model already. A missing field differs from no late requests, so that a member that learns of its leader's level late adds nothing.

--- a/cowsliprack/coordination/target_selector.py
+++ b/cowsliprack/coordination/target_selector.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from cowsliprack.coordination.request_outcomes import RequestOutcomes
 from cowsliprack.coordination.target_limits import TargetLimits
 from cowsliprack.coordination.target_pace import TargetPaces
 from cowsliprack.coordination.target_pauses import TargetPauses
@@ -81,6 +82,7 @@
     :param limits: request rates that targets have named.
     :param pauses: times in which targets want no requests.
     :param paces: how many requests targets should run at a time.
+    :param outcomes: late and paused requests by model.
     """
 
     zone: str
@@ -93,6 +95,7 @@
     limits: TargetLimits = field(default_factory=TargetLimits)
     pauses: TargetPauses = field(default_factory=TargetPauses)
     paces: TargetPaces = field(default_factory=TargetPaces)
+    outcomes: RequestOutcomes = field(default_factory=RequestOutcomes)
     _names_by_id: dict[str, Counter[str]] = field(default_factory=dict)
     _last_by_prompt: dict[str, str] = field(default_factory=dict)
 
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -8,6 +8,7 @@
     ColdUse,
     PaceUse,
     PaceView,
+    OutcomeCount,
 )
 from cowsliprack.protocol.peer_message import PeerMessage
 
@@ -105,6 +106,9 @@
     :param cold: targets that it knows to be cold; only for leaders of message
         level 6 or higher, like the following field.
     :param paces: answers of targets that are not well, or were not lately.
+    :param outcomes: late and paused requests since the process started, of
+        models with any; ``None`` if they are not stated. Requests begun are in
+        ``started_by_model``.
     """
 
     instance_id: str
@@ -128,6 +132,7 @@
     credit: tuple[CreditUse, ...] = ()
     cold: tuple[ColdUse, ...] = ()
     paces: tuple[PaceUse, ...] = ()
+    outcomes: tuple[OutcomeCount, ...] | None = None
 
 
 class EngineView(msgspec.Struct, frozen=True, array_like=True):
--- a/cowsliprack/protocol/message_level.py
+++ b/cowsliprack/protocol/message_level.py
@@ -20,7 +20,7 @@
 # 5: it rests between two terms as leader.
 # Again with messages and fields:
 # 6: evacuated zones, cold targets and the leader's division of their limits,
-#    and paces of targets.
+#    paces of targets, and late and paused requests by model.
 MESSAGE_LEVEL = 6
 ABSENCES_LEVEL = 1
 LOADS_DUE_LEVEL = 2
--- a/cowsliprack/protocol/overload_messages.py
+++ b/cowsliprack/protocol/overload_messages.py
@@ -67,3 +67,15 @@
     state: str
     places: float
     answered_age: float
+
+
+class OutcomeCount(msgspec.Struct, frozen=True, array_like=True):
+    """Requests of a model that fared badly since the process started.
+
+    :param late: requests without a first event by their latency target.
+    :param paused: streams with a pause above the route's limit.
+    """
+
+    model: str
+    late: int
+    paused: int
--- a/cowsliprack/transport/route_relay.py
+++ b/cowsliprack/transport/route_relay.py
@@ -135,6 +135,12 @@
                     error.detail,
                 ) from error
             raise
+        finally:
+            if request.sends and not request.first_byte_at:
+                # It ends without a first byte.
+                self.target_selector.outcomes.record_first_event(
+                    request.metadata.model, self.clock(), request.target_at
+                )
 
     async def _serve_until_deadline(self, request: RoutedRequest) -> None:
         scope = anyio.move_on_after(request.deadline - self.clock())
@@ -673,7 +679,14 @@
         now = self.clock()
         self.target_selector.record_bytes(target.target_id, now, sent_at)
         self.poison.on_events(request.in_flight_id)
+        longest = request.longest_pause
         request.record_events(now)
+        self.target_selector.outcomes.record_pause(
+            request.metadata.model,
+            longest,
+            request.longest_pause,
+            request.route.max_event_gap,
+        )
         if not request.first_byte_at:
             self._record_first_byte(request, target, sent_at)
 
@@ -686,6 +699,9 @@
         now = self.clock()
         request.first_byte_at = now
         request.answered_in = now - sent_at
+        self.target_selector.outcomes.record_first_event(
+            request.metadata.model, now, request.target_at
+        )
         self.target_selector.record_success(target.target_id, now - sent_at)
 
 
--- a/cowsliprack/transport/target_conditions.py
+++ b/cowsliprack/transport/target_conditions.py
@@ -128,6 +128,7 @@
         return {
             'cold': limits.cold.uses(limits.wanted, now),
             'paces': self.selector.paces.uses(self.selector.own_by_id, now),
+            'outcomes': self.selector.outcomes.counts(),
         }
 
     def _apply_return(self, record: TargetRecord) -> None:
--- a/tests/steps/route_streams_steps.py
+++ b/tests/steps/route_streams_steps.py
@@ -16,6 +16,7 @@
 from cowsliprack.exceptions import ServingError, TargetsUnreachableError
 from cowsliprack.platform.headers import PLATFORM_DIALECT
 from cowsliprack.protocol.dialect import RequestMetadata
+from cowsliprack.protocol.overload_messages import OutcomeCount
 from cowsliprack.state.target_registry import TargetRegistry
 from cowsliprack.transport.bounded_body import AnswerMemory
 from cowsliprack.transport.checked_transport import CheckedTransport
@@ -466,6 +467,7 @@
         'headers': [(b'host', b'desk.example'), (b'x-attempt-id', b'id')],
     }
     record = target_record('e1', address=context.engine.address)
+    context.selector = TargetSelector('z')
     context.origins = lone_origins()
     # No process ran before, so that streams may be taken up.
     context.origins.inherit(('', {}))
@@ -474,7 +476,7 @@
             client=client,
             dialect=PLATFORM_DIALECT,
             fleet=FleetView(),
-            target_selector=TargetSelector('z'),
+            target_selector=context.selector,
             finder=_Finder(
                 record, getattr(context, 'reached_sends', _MAX_SENDS)
             ),
@@ -492,13 +494,14 @@
         request = routed_request(
             f'{path}1',
             'llm',
-            time.monotonic(),
+            time.monotonic() - getattr(context, 'waited', 0),
             5,
             exchange=exchange_from_scope(scope, None, send),
             metadata=RequestMetadata(
                 'id',
                 '',
                 None,
+                model=getattr(context, 'model', ''),
                 resume_after=getattr(context, 'resume_after', ''),
             ),
         )
@@ -508,6 +511,19 @@
             context.error = error
 
 
+@given('the request names the model a and came {waited:g} seconds ago')
+def given_model(context, waited):
+    context.model = 'a'
+    context.waited = waited
+
+
+@then('{late:d} request of a is late and {paused:d} has paused')
+def then_outcomes(context, late, paused):
+    expected = (OutcomeCount('a', late, paused),) if late + paused else ()
+    counts = context.selector.outcomes.counts()
+    assert counts == expected, counts
+
+
 @then('its response is {state:w} with the events {events}')
 def then_response(context, state, events):
     body = b''.join(message.get('body', b'') for message in context.messages)
--- a/tests/transport/route_streams.feature
+++ b/tests/transport/route_streams.feature
@@ -196,6 +196,20 @@
       | a byte without an end | 0.3   | /report/ | broken   | 1       | 6       |
       | comments without end  | 0.3   | /report/ | broken   | 1       | 6       |
 
+  # The leader adds replicas where requests are late or pause; /chat/ allows one
+  # second until the first event and half a second between two.
+  Scenario Outline: A stream with an event every <pause> s counts for its model
+    Given an engine that sends one of 4 events every <pause> seconds
+    And the request names the model a and came <wait> seconds ago
+    When a caller asks for a stream at /chat/
+    Then <late> request of a is late and <paused> has paused
+
+    Examples:
+      | pause | wait | late | paused |
+      | 0.9   | 0    | 0    | 1      |
+      | 0.2   | 1.1  | 1    | 0      |
+      | 0.2   | 0    | 0    | 0      |
+
   # Otherwise the instance would send a caller that takes the stream up to the
   # software version of its own first send.
   Scenario Outline: A stream that is passed on after a send to a target is <state> here
