Decide replicas of busy models by load, late requests and zone

A model got one more replica only when its least loaded engine ran more than 28 requests or 0.6 of its slots, on any engine, so busy models stayed on a few engines beside idle ones. BusyModels decides the number and the zones from running requests, late and paused requests and the demand by zone; the scheduler adds one replica at a time on engines that are less busy, and keeps them until fewer have been enough for 3 s. The only replica of a model that was requested lately is not evicted for a further replica, nor by the earlier rule; such a load uses the weight store only for requests that stay late.

--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -14,6 +14,13 @@
 
 from cowsliprack.coordination.absent_models import AbsentModels
 from cowsliprack.coordination.adapter_placement import plan_adapter
+from cowsliprack.coordination.busy_models import (
+    EVICTION_SECONDS,
+    BusyModels,
+    ReplicaDemand,
+    costs_more,
+    spread_seconds,
+)
 from cowsliprack.coordination.cold_loads import (
     URGENT_REQUESTS,
     ColdLoadLimit,
@@ -114,6 +121,8 @@
         when a load from the weight store that begins now has ended.
     :param is_spare: whether it is a second copy of a model in use, for the case
         that its engine leaves.
+    :param scales_up: whether it is one more replica of a busy model.
+    :param further: demand that this replica meets; ``None`` if there is none.
     """
 
     model: str
@@ -124,6 +133,8 @@
     software_version: str = ''
     outwaits_load: bool = False
     is_spare: bool = False
+    scales_up: bool = False
+    further: ReplicaDemand | None = None
 
     def fits(self, engine: EngineState) -> bool:
         """Return whether an engine runs the software version.
@@ -133,6 +144,10 @@
         version = engine.record.software_version
         return self.software_version in {'', version}
 
+    def is_worth_cold_load(self) -> bool:
+        """Return whether the model may be loaded from the weight store."""
+        return self.further is None or self.further.may_load_cold
+
 
 @dataclass(frozen=True, slots=True)
 class _Placement:
@@ -155,6 +170,7 @@
     :param rates: requests per second by model.
     :param cold_loads: limit of concurrent loads from the weight store.
     :param absent: models that lie on no engine, as of the last plan.
+    :param busy_models: desired replicas of busy models.
     :param earlier_turns: by model, when the last leader expected the end of a
         load that had not begun, seconds.
     :param earlier_loads: by model, when a load from the weight store that the
@@ -166,6 +182,7 @@
     engines_by_id: dict[str, EngineState] = field(default_factory=dict)
     cold_loads: ColdLoadLimit = field(default_factory=ColdLoadLimit)
     absent: AbsentModels = field(default_factory=AbsentModels)
+    busy_models: BusyModels = field(default_factory=BusyModels)
     earlier_turns: Mapping[str, float] = field(default_factory=dict)
     earlier_loads: Mapping[str, float] = field(default_factory=dict)
     _lost_loads: LostColdLoads = field(default_factory=LostColdLoads)
@@ -198,12 +215,15 @@
         """
         waiting = list(groups)
         self._update_index(waiting, now)
+        self.busy_models.update(self._index, self.spec, self.rates, now)
         orders = self._advance_assigned(now)
         if self.rates.is_established(now):
-            self._drain_surplus()
+            self._drain_surplus(now)
+        scale_up = self._scale_up_candidates()
         candidates = [
             *self._waiting_candidates(waiting, now),
-            *self._scale_up_candidates(),
+            *_further_candidates(self.busy_models.open_demands(), scale_up),
+            *scale_up,
             *_spare_candidates(
                 self._spares.expected_losses(
                     self._index, self.spec, self.rates, now
@@ -435,7 +455,9 @@
                 benefit = min(
                     excess * len(loads), self._index.running_by_model[model]
                 )
-                candidates.append(_LoadCandidate(model, benefit=benefit))
+                candidates.append(
+                    _LoadCandidate(model, benefit=benefit, scales_up=True)
+                )
         return candidates
 
     def _schedule(
@@ -559,7 +581,10 @@
         # Waiting for an engine with a copy of the weights is faster than a
         # load from the weight store, so if there are any, only these count.
         copies = list(filter(candidate.fits, self._index.disks_with(name)))
-        if not copies and not self._may_load_cold(candidate, now):
+        if not copies and not (
+            candidate.is_worth_cold_load()
+            and self._may_load_cold(candidate, now)
+        ):
             return []
         placements = [
             placement
@@ -601,6 +626,16 @@
             load_seconds += _LIMITED_DELAY_SECONDS
         if candidate.is_spare and self._index.is_copy_in_zone(engine, model):
             load_seconds += model.cold_seconds
+        further = candidate.further
+        if further is not None:
+            load_seconds += spread_seconds(
+                further,
+                engine,
+                self._index.load_by_id[engine.target_id],
+                self.spec.slots,
+            )
+        if math.isinf(load_seconds):
+            return
         if self._has_room(engine, model):
             yield _Placement(engine, (), load_seconds)
             return
@@ -612,8 +647,21 @@
             cost_by_name,
             lambda without: self._has_room(engine, model, without),
         )
-        if victims:
+        gain = further.gain if further else candidate.benefit
+        if victims and not (
+            candidate.scales_up
+            and costs_more(
+                victims,
+                gain,
+                self._index,
+                self.rates,
+                now,
+                is_overloaded=further is None,
+            )
+        ):
             cost = sum(cost_by_name[name] for name in victims)
+            if further is not None:
+                cost += EVICTION_SECONDS
             yield _Placement(engine, victims, load_seconds + cost)
 
     def _eviction_cost(
@@ -633,6 +681,8 @@
         run_cost = MEAN_RUN_SECONDS if running else 0
         if others and not self.rates.is_established(now):
             return math.inf
+        if candidate.further and self.busy_models.keeps(name, others + 1):
+            return math.inf
         if self._is_surplus(engine, name):
             return run_cost + _SURPLUS_REPLICA_COST
         if running >= max(candidate.count - 1, 1):
@@ -691,22 +741,29 @@
         )
         return min(most, self.cold_loads.store_limit)
 
-    def _drain_surplus(self) -> None:
+    def _drain_surplus(self, now: float) -> None:
         """Stop offering one replica of each model with surplus replicas."""
         for name in self._index.holding_by_model:
             replicas = self._index.offering(name)
             if len(replicas) < 2 or name in self._waiting_models:
                 continue
-            engine = _least_needed(replicas, name, self._waiting_share_by_id)
+            engine = _least_needed(
+                self.busy_models.removable(name, replicas, now),
+                name,
+                self._waiting_share_by_id,
+            )
             if self._is_surplus(engine, name):
                 engine.draining_models.add(name)
 
     def _is_surplus(self, engine: EngineState, name: str) -> bool:
         """Return whether the other replicas can run its requests as well."""
+        offering = self._index.offering(name)
+        if engine.offers(name) and self.busy_models.keeps(name, len(offering)):
+            return False
         limit = self._scale_up_threshold() * _SCALE_DOWN_SHARE
         room = [
             limit - self._index.load_by_id[other.target_id]
-            for other in self._index.offering(name)
+            for other in offering
             if other is not engine and not other.is_limited
         ]
         return bool(room) and engine.running[name] <= sum(room)
@@ -753,6 +810,27 @@
     ]
 
 
+def _further_candidates(
+    demands: Iterable[ReplicaDemand],
+    scale_up: Iterable[_LoadCandidate],
+) -> list[_LoadCandidate]:
+    """Return busy models that should get one more replica.
+
+    Models above the scale-up threshold are among them with the same benefit, so
+    that a replica in the right zone is tried before one on any engine.
+    """
+    benefits = {candidate.model: candidate.benefit for candidate in scale_up}
+    return [
+        _LoadCandidate(
+            demand.model,
+            benefit=max(demand.gain, benefits.get(demand.model, 0)),
+            scales_up=True,
+            further=demand,
+        )
+        for demand in demands
+    ]
+
+
 def _limited_candidates(
     groups: list[GroupDemand], index: EngineIndex
 ) -> list[_LoadCandidate]:
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -10,6 +10,7 @@
 from cowsliprack.coordination.absent_models import AbsenceLedger
 from cowsliprack.coordination.load_queue import LoadsDueLedger
 from cowsliprack.coordination.model_scheduler import GroupDemand, ModelScheduler
+from cowsliprack.coordination.request_outcomes import new_troubles
 from cowsliprack.coordination.target_limits import (
     AVOIDED_SECONDS,
     ReportedUses,
@@ -175,6 +176,13 @@
             for service, scheduler in self.schedulers_by_service.items()
         }
 
+    def further_replicas(self) -> int:
+        """Return the replicas wanted of busy models, beyond one each."""
+        return sum(
+            scheduler.busy_models.further_replicas()
+            for scheduler in self.schedulers_by_service.values()
+        )
+
     def apply_registry(self, registry: TargetRegistry) -> list[EngineState]:
         """Apply the target registry; return the engines to survey.
 
@@ -218,6 +226,7 @@
             self._slots_by_id,
             now,
         )
+        self._count_outcomes(previous, report, now)
         member = previous or Member(report, now)
         member.report = report
         member.seen_at = now
@@ -484,6 +493,31 @@
             for scheduler in self.schedulers_by_service.values():
                 if model in scheduler.spec.models_by_name:
                     scheduler.rates.add(model, count, now)
+                    scheduler.busy_models.add_started(
+                        model, report.zone, count, now
+                    )
+
+    def _count_outcomes(
+        self,
+        previous: Member | None,
+        report: MemberReport,
+        now: float,
+    ) -> None:
+        """Count late and paused requests since the previous report.
+
+        The first report of a process, or to this leader, counts nothing: it is
+        not known when its requests were late.
+        """
+        if previous is None or previous.report.boot != report.boot:
+            return
+        before = previous.report.outcomes
+        if before is None or report.outcomes is None:
+            return
+        troubles = new_troubles(before, report.outcomes)
+        for scheduler in self.schedulers_by_service.values():
+            known = scheduler.spec.models_by_name.keys() & troubles.keys()
+            for model in known:
+                scheduler.busy_models.troubles.add(model, troubles[model], now)
 
     def count_running(self, now: float) -> None:
         """Sum up the running requests on each engine.
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -6,9 +6,9 @@
 from cowsliprack.protocol.overload_messages import (
     ColdShare,
     ColdUse,
+    OutcomeCount,
     PaceUse,
     PaceView,
-    OutcomeCount,
 )
 from cowsliprack.protocol.peer_message import PeerMessage
 
--- a/tests/coordination/region_state.feature
+++ b/tests/coordination/region_state.feature
@@ -34,6 +34,21 @@
     When an older report of it arrives without waiting requests
     Then a request still waits for a
 
+  # Counters of a process that has been replaced, or of a build that states none,
+  # say nothing of the time between two reports.
+  Scenario Outline: Late requests are counted between two reports: <case>
+    Given a member that reports <first> late requests of a
+    When <process> reports <second> late requests of a
+    Then the leader counts <counted> of them
+
+    Examples:
+      | case                               | first | process          | second | counted |
+      | more than before                   | 5     | the same process | 8      | 3       |
+      | the first ones                     | 0     | the same process | 2      | 2       |
+      | counters that begin anew           | 5     | a new process    | 8      | 0       |
+      | a member that learns of the leader | none  | the same process | 8      | 0       |
+      | an earlier build                   | 5     | the same process | none   | 0       |
+
   Scenario Outline: The leader probes an engine that does not answer: <who>
     Given an engine that held a and has loaded b
     And <who> had no answer from it for 0.8 seconds
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -1,5 +1,6 @@
 """Steps for the state that the leader of a region keeps."""
 
+import math
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -26,10 +27,11 @@
     MemberReport,
     WaitingGroup,
 )
+from cowsliprack.protocol.overload_messages import OutcomeCount
 from cowsliprack.protocol.peer import decode_message, encode_message
 from cowsliprack.protocol.target import OrderKind
 from cowsliprack.state.engine_state import EngineOrder, EngineState
-from cowsliprack.state.routing_table import EngineSpec
+from cowsliprack.state.routing_table import EngineSpec, ModelSpec
 from cowsliprack.state.target_registry import (
     LoadedModel,
     TargetRegistry,
@@ -458,3 +460,34 @@
     member = context.state.members_by_id['i0']
     view = context.state.view_for(member, _NOW)
     assert view.engines or view.gone, view
+
+
+def _outcomes(text):
+    if text == 'none':
+        return None
+    return (OutcomeCount('a', int(text), 0),) if int(text) else ()
+
+
+@given('a member that reports {late} late requests of a')
+def given_outcomes(context, late):
+    _state(context)
+    scheduler = context.state.schedulers_by_service['s']
+    model = ModelSpec('a', 70, 1, 6, 0.6, 0.45)
+    scheduler.spec = replace(scheduler.spec, models_by_name={'a': model})
+    report = _member_report('i1', outcomes=_outcomes(late))
+    context.state.apply_report(report, _NOW)
+
+
+@when('{process} reports {late} late requests of a')
+def when_outcomes(context, process, late):
+    boot = 'b2' if process == 'a new process' else 'b1'
+    report = _member_report('i1', 2, boot=boot, outcomes=_outcomes(late))
+    context.state.apply_report(report, _NOW)
+
+
+@then('the leader counts {count:d} of them')
+def then_outcomes_counted(context, count):
+    scheduler = context.state.schedulers_by_service['s']
+    # The rate is an average over 5 seconds.
+    counted = scheduler.busy_models.troubles.rate('a', _NOW) * 5
+    assert math.isclose(counted, count), counted
