Log and count decisions on replicas of busy models

An operator could not see why a model has its number of replicas. The leader writes a line for each change with the figures behind it; three gauges show late and paused requests and the replicas wanted beyond one of each model.

--- a/cowsliprack/metrics.py
+++ b/cowsliprack/metrics.py
@@ -9,6 +9,42 @@
 )  # fmt: skip
 
 
+class PlacementMetrics:
+    """What the placement of busy models is decided by, and its result."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Register the gauges.
+
+        :param registry: of the instance.
+        """
+        self._late = Gauge(
+            'cowsliprack_late_first_events',
+            'Requests without a first event by their latency target.',
+            registry=registry,
+        )
+        self._paused = Gauge(
+            'cowsliprack_paused_streams',
+            'Streams with a pause above the limit of their route.',
+            registry=registry,
+        )
+        self._further_replicas = Gauge(
+            'cowsliprack_further_replicas',
+            'Replicas that the leader wants of busy models, beyond one each.',
+            registry=registry,
+        )
+
+    def update(self, late: int, paused: int, further_replicas: int) -> None:
+        """Set the gauges.
+
+        :param late: late requests since the process started.
+        :param paused: paused streams since the process started.
+        :param further_replicas: 0 unless this instance leads.
+        """
+        self._late.set({}, late)
+        self._paused.set({}, paused)
+        self._further_replicas.set({}, further_replicas)
+
+
 class Metrics:
     """Collectors of one instance, in a separate registry."""
 
@@ -59,6 +95,7 @@
             'cowsliprack_paced_targets',
             'Targets that start, recover or are full, and get fewer requests.',
         )
+        self.placement = PlacementMetrics(self.registry)
         self.loop_late = self._gauge(
             'cowsliprack_loop_late_seconds',
             'Time for which the event loop was held up during deadlines.',
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -351,6 +351,13 @@
         self.metrics.evacuated_zones.set(
             {}, len(self.fleet.registry.evacuations.zones)
         )
+        outcomes = self.region.context.target_selector.outcomes
+        term = self.region.term
+        self.metrics.placement.update(
+            outcomes.late_by_model.total(),
+            outcomes.paused_by_model.total(),
+            term.state.further_replicas() if term else 0,
+        )
         self.metrics.loop_late.set({}, self.running_time.late_seconds)
         text, headers = self.metrics.render(['text/plain'])
         content_type = headers.get('Content-Type', 'text/plain')
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -50,6 +50,7 @@
 from cowsliprack.transport.order_executor import OrderExecutor
 from cowsliprack.transport.reach_watch import ReachWatch
 from cowsliprack.transport.region_context import RegionContext
+from cowsliprack.transport.replica_decisions import log_replica_decisions
 from cowsliprack.transport.view_pacing import ViewPacing
 
 # Changes within this time are planned and sent to the members as one batch. The
@@ -373,6 +374,7 @@
         orders = _plan_orders(self.state, now) if may_order else ()
         for engine, order in orders:
             self._tasks.start_soon(self._executor.execute, engine, order)
+        log_replica_decisions(self.state)
         self._log_missing_weights(now)
         _log_paces(self.state.paces)
         organisations = self._context.table().organisations_by_name.values()
