Replay demand by zone, and show how even the load of the engines is

The replays showed what the scheduler's loads earn, but neither the spread of the load nor zones. They print the requests of the busiest engine as a multiple of the mean, the share begun without a free slot and in the own zone, and give the scheduler late requests and demand by zone. A workload of 45 engines with few slots and uneven demand by zone is added; the others draw the same requests as before.

--- a/tools/bench/rotation_replay.py
+++ b/tools/bench/rotation_replay.py
@@ -33,6 +33,8 @@
 _MODEL_MEGABYTES = 70.0
 # Retry-After of a request that has waited in vain, in seconds.
 _BRIEF_RETRY_SECONDS = 1.0
+# Load added to engines in other zones, as instances do, in requests.
+_OTHER_ZONE_LOAD = 0.5
 # A model or adapter is requested throughout the workload if it is requested at
 # least this often over at least this time, in seconds.
 _LASTING_REQUESTS = 4
@@ -106,6 +108,8 @@
     :param plan_seconds: interval of the plans of the scheduler.
     :param rejects_early: whether requests are rejected as soon as their model
         is known to be loaded too late.
+    :param zone_shares: share of each zone in the requests; engines are spread
+        evenly among the zones.
     """
 
     name: str
@@ -132,6 +136,7 @@
     removal: EngineChange = (math.inf, 0, 0)
     plan_seconds: float = _STEP_SECONDS
     rejects_early: bool = False
+    zone_shares: tuple[float, ...] = (1,)
 
 
 SIX_ENGINES = Workload(
@@ -220,7 +225,40 @@
     plan_seconds=0.05,
     rejects_early=True,
 )
-WORKLOADS = (SIX_ENGINES, NINE_ENGINES, FIFTY_SIX_ENGINES, THIRTY_ENGINES)
+# A few models with most of the requests, on engines with few slots and disks
+# that hold a third of the models, and demand that is uneven by zone.
+FORTY_FIVE_ENGINES = Workload(
+    name='45 engines of 3 places',
+    engines=45,
+    models_per_engine=3,
+    slots=16,
+    disk_models=60,
+    busy_shares=tuple(
+        (rank + 1) ** -1.1 if rank < 12 else 0 for rank in range(40)
+    ),
+    rare_models=140,
+    draft=RequestKind('draft', 60, 0.3, 10, 1.5, 1.9, 0.19, 0.05),
+    ask=RequestKind('ask', 60, 0.3, 3, 0.6, 1.3, 0.13, 0.1),
+    batch=RequestKind('batch', 12, 4.0, 17, 2.2, 19.6, 2.9),
+    adapters=8,
+    lead_seconds=11.0,
+    end_at=41.0,
+    disk_capacity=64,
+    cold_seconds=10.2,
+    full_speed_loads=2,
+    loads_per_second=19,
+    initial_replicas=(2, 2, 1, 1),
+    removal=(20.0, 2, 6.0),
+    plan_seconds=0.05,
+    zone_shares=(0.29, 0.32, 0.39),
+)
+WORKLOADS = (
+    SIX_ENGINES,
+    NINE_ENGINES,
+    FIFTY_SIX_ENGINES,
+    THIRTY_ENGINES,
+    FORTY_FIVE_ENGINES,
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -233,6 +271,7 @@
     waits_until: float
     retries: int
     attempted_at: float
+    zone: str = 'z0'
 
     def names(self) -> tuple[str, ...]:
         """Return the model and the adapter as MODEL/ADAPTER, if any."""
@@ -268,6 +307,10 @@
     :param orders_by_kind: number of orders that the scheduler issued.
     :param peak_models: maximum number of models that one engine held or loaded
         at the same time.
+    :param begun_by_id: requests that were started on each engine.
+    :param begun_on_full: requests that were started on an engine without a
+        free slot, and wait inside it.
+    :param begun_in_zone: requests that were started in their own zone.
     """
 
     workload: Workload
@@ -282,6 +325,9 @@
         default_factory=lambda: defaultdict(list),
     )
     served_names: set[str] = field(default_factory=set)
+    begun_by_id: Counter[str] = field(default_factory=Counter)
+    begun_on_full: int = 0
+    begun_in_zone: int = 0
     _busy_models: list[str] = field(init=False)
     _rare_models: list[str] = field(init=False)
     _waiting: list[_Request] = field(default_factory=list)
@@ -363,7 +409,7 @@
             target_id=target_id,
             service='s',
             address='',
-            zone='z',
+            zone=_zone_of(target_id, len(self.workload.zone_shares)),
             slots=self.workload.slots,
             state=TargetState.ready,
             on_disk=frozenset(disk),
@@ -422,6 +468,9 @@
         for name in request.names():
             self.requested_at_by_name[name].append(now)
         self.scheduler.rates.add(request.model, 1, now)
+        self.scheduler.busy_models.add_started(
+            request.model, request.zone, 1, now
+        )
         self._waiting.append(request)
 
     def _change_engines(self, now: float) -> None:
@@ -500,8 +549,16 @@
             now + min(kind.timeout, kind.patience),
             kind.retries,
             now,
+            self._sample_zone(),
         )
 
+    def _sample_zone(self) -> str:
+        shares = self.workload.zone_shares
+        if len(shares) == 1:
+            return 'z0'
+        number = self.rng.choices(range(len(shares)), shares)[0]
+        return f'z{number}'
+
     def _start_waiting(self, now: float) -> None:
         still_waiting = []
         for request in self._waiting:
@@ -578,6 +635,11 @@
         now: float,
     ) -> None:
         kind = request.kind
+        self.begun_by_id[engine.target_id] += 1
+        self.begun_in_zone += engine.record.zone == request.zone
+        if engine.running_count() >= self.workload.slots:
+            self.begun_on_full += 1
+            self.scheduler.busy_models.troubles.add(request.model, 1, now)
         engine.running[request.model] += 1
         if request.adapter:
             name = f'{request.model}/{request.adapter}'
@@ -606,7 +668,10 @@
         ]
         return min(
             available,
-            key=EngineState.running_count,
+            key=lambda engine: (
+                engine.running_count()
+                + _OTHER_ZONE_LOAD * (engine.record.zone != request.zone)
+            ),
             default=None,
         )
 
@@ -687,6 +752,11 @@
         ]
 
 
+def _zone_of(target_id: str, zones: int) -> str:
+    number = int(target_id.strip('e+'))
+    return f'z{number % zones}'
+
+
 def _make_demand(
     model: str,
     adapter: str,
@@ -739,6 +809,30 @@
     )
 
 
+def busiest_to_mean(replays: list[Replay]) -> float:
+    """Return the requests of the busiest engine as a multiple of the mean.
+
+    :param replays: finished simulations, of which the mean is returned.
+    """
+    factors = [
+        max(one.begun_by_id.values())
+        * one.workload.engines
+        / one.begun_by_id.total()
+        for one in replays
+    ]
+    return sum(factors) / len(factors)
+
+
+def _print_spread(replays: list[Replay]) -> None:
+    begun = sum(one.begun_by_id.total() for one in replays)
+    full = sum(one.begun_on_full for one in replays) / begun
+    in_zone = sum(one.begun_in_zone for one in replays) / begun
+    print(
+        f'  busiest engine {busiest_to_mean(replays):.2f} times the mean, begun'
+        f' without a free slot {full:.3f}, in its zone {in_zone:.3f}'
+    )
+
+
 def main(seeds: int = 5) -> None:
     """Print the results of each kind of request under each workload.
 
@@ -758,6 +852,7 @@
         never = sum(len(one.never_served()) for one in replays) / seeds
         lasting = sum(len(one.lasting_names()) for one in replays) / seeds
         print(f'  never served: {never:.1f} of {lasting:.1f} names a play')
+        _print_spread(replays)
         orders = sum((one.orders_by_kind for one in replays), Counter())
         print(
             f'  orders a play: { ({k: v // seeds for k, v in orders.items()}) }'
