Keep the turns of loads that requests wait for, and tell loads as they begin

Cause: with the plan that began a load, members were told that the load was due one turn later, until the next plan. Requests that waited for it were rejected, seconds after their arrival, although the load served their model in time. A model that had been missing for longer and was asked for again took the turn for which other requests waited. A new leader told of no absent model for 5 s.

Members' counters since their start tell a new leader what has been served. Loads are told with the plan that begins them. Absent models that the last leader named count as absent once all engines have been surveyed.

--- a/cowsliprack/coordination/absent_models.py
+++ b/cowsliprack/coordination/absent_models.py
@@ -34,6 +34,18 @@
 
     loaded_at_by_model: Mapping[str, float] = field(default_factory=dict)
     _since_by_model: dict[str, float] = field(default_factory=dict)
+    _inherited: frozenset[str] = frozenset()
+
+    def inherit(self, models: Iterable[str]) -> None:
+        """Go on with what an earlier leader knew.
+
+        Its models count as absent as soon as all engines have been surveyed.
+        Requests for them would wait otherwise until the models count as absent
+        again.
+
+        :param models: that it knew to be absent.
+        """
+        self._inherited = frozenset(models)
 
     def update(
         self,
@@ -56,6 +68,10 @@
             for name in models
             if name not in at_hand
         }
+        if engines and not any(one.awaits_survey() for one in engines):
+            known = self._inherited.intersection(self._since_by_model)
+            self._since_by_model.update(dict.fromkeys(known, -math.inf))
+            self._inherited = frozenset()
         # An order of an earlier leader may be the load of any of them.
         may_be_loading = any(engine.has_unknown_order() for engine in engines)
         settled_since = -math.inf if may_be_loading else now - _SETTLED_SECONDS
@@ -65,6 +81,18 @@
             if since < settled_since or name in loads
         }
 
+    def begin_loads(self, loads: Mapping[str, float]) -> None:
+        """Add the loads that a plan has begun.
+
+        Members would be told otherwise, until the next plan, that a load that
+        has begun is due one turn later, and would reject its requests.
+
+        :param loads: see ``update``.
+        """
+        absent = self.loaded_at_by_model
+        begun = {name: loads[name] for name in loads if name in absent}
+        self.loaded_at_by_model = {**absent, **begun}
+
 
 @dataclass(slots=True)
 class LoggedAbsences:
--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -49,6 +49,8 @@
     :param max_cold_loads: current limit for a model with few requests.
     :param engines: number of usable engines.
     :param names: the models that no engine holds, caches or loads.
+    :param promised_models: models whose waiting requests are expected to be
+        served by a load that has not begun, in the order of the loads.
     """
 
     models: int = 0
@@ -57,6 +59,7 @@
     max_cold_loads: int = 0
     engines: int = 0
     names: frozenset[str] = frozenset()
+    promised_models: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -488,6 +488,7 @@
             before = previous.report.started_by_model
         for model, started in report.started_by_model.items():
             count = started - before.get(model, 0)
+            self._record_served(model)
             if previous is None or count <= 0:
                 continue
             for scheduler in self.schedulers_by_service.values():
@@ -519,6 +520,13 @@
             for model in known:
                 scheduler.busy_models.troubles.add(model, troubles[model], now)
 
+    def _record_served(self, model: str) -> None:
+        # Members count since their start, so that a new leader learns at once
+        # what requests have been sent before its term.
+        for scheduler in self.schedulers_by_service.values():
+            if model in scheduler.spec.models_by_name:
+                scheduler.turns.served_models.add(model)
+
     def count_running(self, now: float) -> None:
         """Sum up the running requests on each engine.
 
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -432,6 +432,9 @@
                 max_cold_loads=missing.max_cold_loads,
                 engines=missing.engines,
                 lost_models=lost[:_MAX_LOGGED_NAMES],
+                promised_models=list(
+                    missing.promised_models[:_MAX_LOGGED_NAMES]
+                ),
             )
 
     def _log_absences(self, service: str, scheduler: ModelScheduler) -> None:
