Add a metric of the models that lie on no engine

The log names them at the leader alone. The gauge cowsliprack_absent_models shows on each instance what the leader has told, so that a member that rejects requests for such models can be told from one that does not know them.

--- a/cowsliprack/metrics.py
+++ b/cowsliprack/metrics.py
@@ -96,6 +96,10 @@
             'Targets that start, recover or are full, and get fewer requests.',
         )
         self.placement = PlacementMetrics(self.registry)
+        self.absent_models = self._gauge(
+            'cowsliprack_absent_models',
+            'Models that lie on no engine, as the leader has told.',
+        )
         self.loop_late = self._gauge(
             'cowsliprack_loop_late_seconds',
             'Time for which the event loop was held up during deadlines.',
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -357,6 +357,8 @@
             outcomes.late_by_model.total(),
             outcomes.paused_by_model.total(),
             term.state.further_replicas() if term else 0,
+        self.metrics.absent_models.set(
+            {}, len(self.fleet.absences.loaded_at_by_name)
         )
         self.metrics.loop_late.set({}, self.running_time.late_seconds)
         text, headers = self.metrics.render(['text/plain'])
