--- a/tests/coordination/weight_store.feature
+++ b/tests/coordination/weight_store.feature
@@ -69,6 +69,11 @@
       | several callers          | 2 that came back wait for c          | c is being loaded  |
       | the caller comes back    | another waits for c after the first  | c is being loaded  |
 
+  Scenario: A model whose callers will have left goes last
+    When 2 that came back wait for c, and one that can wait longer for d
+    And the leader plans
+    Then d is being loaded
+
   Scenario Outline: The next leader knows the absent models at once: <case>
     Given the last leader has told that c is due in 9 seconds
     And <engine>
--- a/tests/steps/weight_store_steps.py
+++ b/tests/steps/weight_store_steps.py
@@ -197,12 +197,11 @@
     counts = [1] if 'before' in when else [0, 1]
     for sequence, count in enumerate(counts, start=1):
         started = {'d': count} if count else {}
-        report = replace_report(context, sequence, started)
+        report = _report(context, sequence, started)
         context.state.apply_report(report, context.now)
 
 
-def replace_report(context, sequence, started):
-    """Return a report of a member that has begun the given requests."""
+def _report(context, sequence, started):
     if sequence == 1:
         context.boot = new_process_id(MESSAGE_LEVEL)
     return MemberReport(
@@ -219,7 +218,7 @@
 
 
 def _member(context):
-    report = replace_report(context, 1, {})
+    report = _report(context, 1, {})
     context.state.apply_report(report, context.now)
     return context.state.members_by_id['i1']
 
@@ -234,6 +233,12 @@
     _wait(context, 'c', -1, 2)
 
 
+@when('2 that came back wait for c, and one that can wait longer for d')
+def when_one_waits_longer(context):
+    _wait(context, 'c', -1, 2)
+    _wait(context, 'd', 9)
+
+
 @when('another waits for c after the first for 1 second more')
 def when_next_caller(context):
     _wait(context, 'c', -1)
