Describe the loads from the weight store, and tell what each load served

starved_names prints what the loads were spent on: only the first load of a model that had not been served lowers the number of names never served.

--- a/tests/bench/starved_names.feature
+++ b/tests/bench/starved_names.feature
@@ -27,6 +27,27 @@
     When the log is read
     Then the loads from the weight store are "3 to 11.0 f"
 
+  Scenario Outline: A load from the weight store: <use>
+    Given the log of a day with requests for f at 0, 4, 8 and 12 seconds
+    And <line>
+    And a load of f from the weight store from <began> to 30 seconds
+    When the log is read
+    Then its loads served "1 <use>"
+
+    Examples:
+      | use                 | line                      | began |
+      | new model           | an answer with status 200 | 3     |
+      | model served before | an answer with status 200 | 20    |
+      | model never served  | no further line           | 3     |
+
+  Scenario: A second load of a model that is served after it
+    Given the log of a day with requests for f at 0, 4, 8 and 12 seconds
+    And an answer with status 200
+    And a load of f from the weight store from 1 to 2 seconds
+    And a load of f from the weight store from 3 to 11 seconds
+    When the log is read
+    Then its loads served "1 model loaded before, 1 new model"
+
   Scenario Outline: A model that was <case> needed the weight store: <needed>
     Given the log of a day with requests for f at 0, 4, 8 and 12 seconds
     And <line>
--- a/tests/steps/starved_names_steps.py
+++ b/tests/steps/starved_names_steps.py
@@ -81,6 +81,13 @@
     assert ', '.join(context.day.starved()) == names, context.day.starved()
 
 
+@then('its loads served "{uses}"')
+def then_uses(context, uses):
+    counted = sorted(context.day.load_uses().items())
+    found = ', '.join(f'{count} {use}' for use, count in counted)
+    assert found == uses, found
+
+
 @then('the loads from the weight store are "{text}"')
 def then_cold_loads(context, text):
     loads = [
--- a/tools/bench/starved_names.py
+++ b/tools/bench/starved_names.py
@@ -103,6 +103,21 @@
             if load.is_cold
         )
 
+    def load_uses(self) -> Counter[str]:
+        """Return how many loads from the weight store served what.
+
+        Only the first load of a model that had not been served can lower the
+        number of names never served.
+        """
+        uses: Counter[str] = Counter()
+        for history in self.history_by_name.values():
+            cold = sorted(
+                load.began_at for load in history.loads if load.is_cold
+            )
+            for number, began_at in enumerate(cold):
+                uses[_load_use(history, began_at, is_first=not number)] += 1
+        return uses
+
     def last_chances(self) -> list[float]:
         """Return when the last caller of each name that needed the store left.
 
@@ -189,6 +204,14 @@
     return loads
 
 
+def _load_use(history: NameHistory, began_at: float, *, is_first: bool) -> str:
+    if history.first_answer_at <= began_at:
+        return 'model served before'
+    if not history.is_served():
+        return 'model never served'
+    return 'new model' if is_first else 'model loaded before'
+
+
 def _outcome(entry: dict[str, Any]) -> str:
     """Return the outcome; answers passed on may be failures."""
     outcome, status = entry['outcome'], entry['status']
@@ -242,6 +265,8 @@
     for began_at, end, model in day.cold_loads():
         note = ' (never served)' if model in starved else ''
         print(f'store {began_at:.1f} to {end} {model}{note}')
+    uses = day.load_uses()
+    print(', '.join(f'{uses[use]} loads: {use}' for use in sorted(uses)))
     histories = day.history_by_name.values()
     lasting = sum(one.is_lasting() for one in histories)
     chances = day.last_chances()
