Take orders that go on for the loads that the last leader has named

Cause: while any engine carried out an order of the last leader, a new leader told of no absent model, as the order may be the load of any of them. With loads from the store under way, requests waited for up to the time of a load.

Change: orders that go on are the loads which the last view named, if there are no more of them. Before the change, 1 of 17 scenarios of weight_store.feature fails.

--- a/cowsliprack/coordination/absent_models.py
+++ b/cowsliprack/coordination/absent_models.py
@@ -53,6 +53,8 @@
         engines: Collection[EngineState],
         loads: Mapping[str, float],
         now: float,
+        *,
+        earlier_loads: int = 0,
     ) -> None:
         """Find the absent models.
 
@@ -61,6 +63,8 @@
             or do not answer count, since they may be usable soon.
         :param loads: by model, when its load is expected to end, seconds.
         :param now: seconds.
+        :param earlier_loads: number of the loads that an earlier leader has
+            named.
         """
         at_hand = set().union(*(engine.models_at_hand() for engine in engines))
         self._since_by_model = {
@@ -72,8 +76,10 @@
             known = self._inherited.intersection(self._since_by_model)
             self._since_by_model.update(dict.fromkeys(known, -math.inf))
             self._inherited = frozenset()
-        # An order of an earlier leader may be the load of any of them.
-        may_be_loading = any(engine.has_unknown_order() for engine in engines)
+        # An order of an earlier leader may be the load of any of them, if it
+        # is none of those that this leader has named.
+        unknown_orders = sum(engine.has_unknown_order() for engine in engines)
+        may_be_loading = unknown_orders > earlier_loads
         settled_since = -math.inf if may_be_loading else now - _SETTLED_SECONDS
         self.loaded_at_by_model = {
             name: loads.get(name, math.inf)
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -411,6 +411,7 @@
             ],
             {**self.earlier_loads, **own_loads},
             now,
+            earlier_loads=len(self.earlier_loads),
         )
         if self.earlier_turns:
             self._missing.inherit(self.earlier_turns, now)
--- a/tests/coordination/weight_store.feature
+++ b/tests/coordination/weight_store.feature
@@ -86,3 +86,5 @@
       | an engine may have a copy | an engine that is not surveyed yet | are told nothing of c             |
       | an engine is back with it | an engine with c on its disk       | are told nothing of c             |
       | it may be loading         | an engine with an unknown order    | are told nothing of c             |
+      | another model is loading  | an engine that loads d for 4 s     | are told that c has no load, and when d is loaded |
+      | and it may be loading too | an engine that loads d for 4 s, and one with an unknown order | are told nothing of c, but when d is loaded |
--- a/tests/steps/weight_store_steps.py
+++ b/tests/steps/weight_store_steps.py
@@ -259,10 +259,28 @@
 def given_other_engine(context, what):
     engine = _engine(context, 'e2', 'c' if 'with c' in what else '')
     engine.surveyed = 'not surveyed' not in what
+    if 'that loads d' in what:
+        context.scheduler.earlier_loads = {'d': context.now + 4}
+        _engine(context, 'e3').order = EngineOrder('e3', OrderKind.load, '')
     if 'unknown order' in what:
+        # A survey says that an engine carries out an order, but not which.
         engine.order = EngineOrder('e2', OrderKind.load, '')
 
 
+@then('the members are told that c has no load, and when d is loaded')
+def then_told_both(context):
+    told = context.state.view_for(_member(context), context.now).absences
+    seconds = {one.model: one.loaded_in for one in told}
+    assert seconds.keys() == {'c', 'd'} and seconds['c'] == -1, seconds
+    assert math.isclose(seconds['d'], 4, abs_tol=0.2), seconds
+
+
+@then('the members are told nothing of c, but when d is loaded')
+def then_told_load(context):
+    told = context.state.view_for(_member(context), context.now).absences
+    assert [one.model for one in told] == ['d'], told
+
+
 @then('the members are told that c has no load')
 def then_told_no_load(context):
     told = context.state.view_for(_member(context), context.now).absences
