--- a/cowsliprack/metrics.py
+++ b/cowsliprack/metrics.py
@@ -9,6 +9,55 @@
 )  # fmt: skip
 
 
+class TargetMetrics:
+    """Targets and models that get fewer requests than others."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Register the gauges.
+
+        :param registry: of the instance.
+        """
+        self._evacuated_zones = Gauge(
+            'cowsliprack_evacuated_zones',
+            'Availability zones whose targets get no requests.',
+            registry=registry,
+        )
+        self._cold_targets = Gauge(
+            'cowsliprack_cold_targets',
+            'Targets whose requests are limited because they are cold.',
+            registry=registry,
+        )
+        self._paced_targets = Gauge(
+            'cowsliprack_paced_targets',
+            'Targets that start, recover or are full, and get fewer requests.',
+            registry=registry,
+        )
+        self._absent_models = Gauge(
+            'cowsliprack_absent_models',
+            'Models that lie on no engine, as the leader has told.',
+            registry=registry,
+        )
+
+    def update(
+        self,
+        evacuated_zones: int,
+        cold_targets: int,
+        paced_targets: int,
+        absent_models: int,
+    ) -> None:
+        """Set the gauges.
+
+        :param evacuated_zones: zones whose targets get no requests.
+        :param cold_targets: targets with a limit because they are cold.
+        :param paced_targets: targets that start, recover or are full.
+        :param absent_models: models that lie on no engine.
+        """
+        self._evacuated_zones.set({}, evacuated_zones)
+        self._cold_targets.set({}, cold_targets)
+        self._paced_targets.set({}, paced_targets)
+        self._absent_models.set({}, absent_models)
+
+
 class PlacementMetrics:
     """What the placement of busy models is decided by, and its result."""
 
@@ -83,23 +132,8 @@
             'cowsliprack_zone_leader',
             '1 while this instance leads its zone.',
         )
-        self.evacuated_zones = self._gauge(
-            'cowsliprack_evacuated_zones',
-            'Availability zones whose targets get no requests.',
-        )
-        self.cold_targets = self._gauge(
-            'cowsliprack_cold_targets',
-            'Targets whose requests are limited because they are cold.',
-        )
-        self.paced_targets = self._gauge(
-            'cowsliprack_paced_targets',
-            'Targets that start, recover or are full, and get fewer requests.',
-        )
+        self.targets = TargetMetrics(self.registry)
         self.placement = PlacementMetrics(self.registry)
-        self.absent_models = self._gauge(
-            'cowsliprack_absent_models',
-            'Models that lie on no engine, as the leader has told.',
-        )
         self.loop_late = self._gauge(
             'cowsliprack_loop_late_seconds',
             'Time for which the event loop was held up during deadlines.',
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -346,19 +346,17 @@
         self.metrics.running.set({}, self.server.open_requests)
         selector = self.region.context.target_selector
         now = read_clock()
-        self.metrics.cold_targets.set({}, selector.limits.cold.count(now))
-        self.metrics.paced_targets.set({}, selector.paces.count(now))
-        self.metrics.evacuated_zones.set(
-            {}, len(self.fleet.registry.evacuations.zones)
+        self.metrics.targets.update(
+            len(self.fleet.registry.evacuations.zones),
+            selector.limits.cold.count(now),
+            selector.paces.count(now),
+            len(self.fleet.absences.loaded_at_by_name),
         )
-        outcomes = self.region.context.target_selector.outcomes
         term = self.region.term
         self.metrics.placement.update(
-            outcomes.late_by_model.total(),
-            outcomes.paused_by_model.total(),
+            selector.outcomes.late_by_model.total(),
+            selector.outcomes.paused_by_model.total(),
             term.state.further_replicas() if term else 0,
-        self.metrics.absent_models.set(
-            {}, len(self.fleet.absences.loaded_at_by_name)
         )
         self.metrics.loop_late.set({}, self.running_time.late_seconds)
         text, headers = self.metrics.render(['text/plain'])
