Order the fair queue by level and time left, and state expected turns

Cause: the queue knew no levels of urgency, ordered the requests of an organisation by arrival, and estimated a wait from all queued requests, so that the flood of one organisation had others rejected.

Change: the most urgent level goes first and each level gets one of 8 turns at least; within an organisation callers that come back and the earliest latency target go first, late ones last. seconds_until_turn counts only what goes before a request; promise_retry spreads the retry times of those rejected. cowsliprack serve uses both for requests that cannot meet their deadline. Its requests share one level, since callers state their priority themselves.

--- a/cowsliprack/coordination/dispatcher.py
+++ b/cowsliprack/coordination/dispatcher.py
@@ -8,7 +8,7 @@
 
 from cowsliprack.coordination import admission, estimates, outcomes
 from cowsliprack.coordination.capacity import Capacity
-from cowsliprack.coordination.fair_queue import FairQueue, QueuedRequest
+from cowsliprack.coordination.fair_queue import FairQueue
 from cowsliprack.coordination.next_start import StartCheck, next_startable
 from cowsliprack.coordination.retry import RetryBudget
 from cowsliprack.coordination.serving import (
@@ -262,17 +262,7 @@
 
     def _enqueue(self, request: ServingRequest, now: float) -> None:
         request.phase = Phase.queued
-        self.queue.push(
-            QueuedRequest(
-                request_id=request.request_id,
-                organisation=request.organisation,
-                deployment=request.resource,
-                tokens=request.tokens,
-                priority=request.priority,
-                deadline=request.deadline,
-                enqueued_at=now,
-            ),
-        )
+        self.queue.push(estimates.queue_entry(request, now))
 
     def _requeue(
         self,
--- a/cowsliprack/coordination/estimates.py
+++ b/cowsliprack/coordination/estimates.py
@@ -4,7 +4,7 @@
 
 from cowsliprack.coordination import outcomes
 from cowsliprack.coordination.capacity import Capacity
-from cowsliprack.coordination.fair_queue import FairQueue
+from cowsliprack.coordination.fair_queue import FairQueue, QueuedRequest
 from cowsliprack.coordination.serving import ServingRequest
 from cowsliprack.exceptions import ErrorKind, ServingError
 
@@ -12,6 +12,26 @@
 _MAX_RETRY_AFTER_SECONDS = 60.0
 
 
+def queue_entry(request: ServingRequest, now: float) -> QueuedRequest:
+    """Return the entry of a request in the queue of its instance.
+
+    Callers state their priority themselves, so it decides within their
+    organisation only; all requests have the same level.
+
+    :param request: that has passed admission.
+    :param now: seconds.
+    """
+    return QueuedRequest(
+        request_id=request.request_id,
+        organisation=request.organisation,
+        deployment=request.resource,
+        tokens=request.tokens,
+        priority=request.priority,
+        deadline=request.deadline,
+        enqueued_at=now,
+    )
+
+
 def estimate_refusal(
     request: ServingRequest,
     capacity: Capacity,
@@ -98,15 +118,21 @@
     slots = sum(status.slots for status in capacity.candidates(request))
     if not slots:
         return None
-    wait = capacity.demand.expected_wait(
-        request.resource,
-        queue.count_for_deployment(request.resource),
-        slots,
+    if not queue.count_for_deployment(request.resource):
+        return None
+    places_per_second = slots / capacity.demand.service_seconds(
+        request.resource
+    )
+    wait = queue.seconds_until_turn(
+        queue_entry(request, now),
+        lambda deployment: deployment == request.resource,
+        places_per_second,
+        now,
     )
     if now + wait <= request.deadline:
         return None
     return ServingError(
         ErrorKind.deadline_unreachable,
         'the queue is longer than the deadline allows',
-        retry_after=min(wait, _MAX_RETRY_AFTER_SECONDS),
+        retry_after=queue.promise_retry(wait, places_per_second, now),
     )
--- a/cowsliprack/coordination/instance_demand.py
+++ b/cowsliprack/coordination/instance_demand.py
@@ -68,16 +68,6 @@
         demand = self.demand_by_resource.get(resource)
         return demand.service_seconds if demand else _DEFAULT_SERVICE_SECONDS
 
-    def expected_wait(self, resource: str, ahead: int, slots: int) -> float:
-        """Return the expected wait behind queued requests.
-
-        :param resource: deployment or route.
-        :param ahead: number of waiting requests.
-        :param slots: total slots of the targets that can run them.
-        :returns: seconds.
-        """
-        return ahead / slots * self.service_seconds(resource)
-
     def record_refusal(self, message: ColdStartRefusal, now: float) -> None:
         """Store a refused cold start until it may be requested again.
 
--- a/tests/coordination/fair_queue.feature
+++ b/tests/coordination/fair_queue.feature
@@ -54,3 +54,43 @@
     Guards against entries that stay in an index after their removal, and
     against starvation of an organisation.
     Then over random pushes, pops, removals and expiries every entry leaves the queue exactly once
+
+  Scenario Outline: A level that is not the most urgent one gets <turns> of 81 turns
+    Guards against a level that starves beside a steady, more urgent one.
+    Given a fair queue with 200 requests of level 0 and <levels> further levels
+    When 81 requests are served
+    Then each further level has been served <turns> times
+
+    Examples:
+      | levels | turns |
+      | 1      | 10    |
+      | 2      | 10    |
+
+  Scenario: An owed turn is kept until a place for its level is free
+    Guards against a level that loses its turn because another model is served.
+    Given a fair queue with 200 requests of level 0 and 1 further levels
+    When 30 requests are served while those of level 1 cannot start
+    And 1 request is served
+    Then each further level has been served 1 times
+
+  Scenario: Order within an organisation
+    Guards against a place for a request that is late anyhow before one that can
+    still be in time, and against a second rejection of the same caller.
+    Given an empty fair queue
+    When requests due at seconds "9 5 7 2" are pushed, the third of a caller that has come back
+    Then they are served at second 3 in the order "3 2 1 4"
+
+  Scenario: The expected turn of a request
+    Guards against a request that is held although its turn comes too late, and
+    against one organisation whose queue makes others be rejected.
+    Given a fair queue with 40 requests of level 0 and 1 further levels
+    When places become free 10 times a second
+    Then the turn of a request of level 0 of the same organisation comes in 4.1 seconds
+    And the turn of a request of level 0 of another organisation comes in 0.2 seconds
+    And the turn of a request of level 2 of the same organisation comes in 0.8 seconds
+
+  Scenario: Callers that are rejected together come back one after the other
+    Guards against a second wave of the same callers at one moment.
+    Given an empty fair queue
+    When 20 requests are rejected while places become free 10 times a second
+    Then their retry times are spread over 2 seconds, at most 5 of them within 0.2 seconds
--- a/tests/steps/fair_queue_steps.py
+++ b/tests/steps/fair_queue_steps.py
@@ -61,7 +61,7 @@
 
 @given('an empty fair queue')
 def given_empty(context):
-    context.queue = FairQueue(100)
+    context.queue = FairQueue(100, random.Random(1))
 
 
 @when('"{entries}" are pushed by one organisation for one deployment')
@@ -222,3 +222,101 @@
     names = [entry.request_id for entry in removed_entries if entry is not None]
     assert sorted(names, key=int) == [str(n + 1) for n in range(pushed)]
     assert len(queue) == 0
+
+
+@given(
+    'a fair queue with {count:d} requests of level 0 and {levels:d} further '
+    'levels'
+)
+def given_levels(context, count, levels):
+    context.queue = FairQueue(10_000, random.Random(1))
+    context.levels = range(1, levels + 1)
+    for level in range(levels + 1):
+        for number in range(count):
+            context.queue.push(
+                _make_entry(f'{level}-{number}', level=level, tokens=500)
+            )
+    context.served_levels = []
+
+
+@when('{count:d} requests are served while those of level 1 cannot start')
+def when_some_served(context, count):
+    for _ in range(count):
+        assert context.queue.pop(1, lambda entry: entry.level != 1).level == 0
+
+
+@when('{count:d} request is served')
+@when('{count:d} requests are served')
+def when_levels_served(context, count):
+    for _ in range(count):
+        entry = context.queue.pop(1, _can_always_start)
+        context.served_levels.append(entry.level)
+
+
+@then('each further level has been served {turns:d} times')
+def then_levels(context, turns):
+    for level in context.levels:
+        assert context.served_levels.count(level) == turns, (
+            context.served_levels
+        )
+
+
+@when(
+    'requests due at seconds "{times}" are pushed, the third of a caller that '
+    'has come back'
+)
+def when_due(context, times):
+    for number, due_at in enumerate(times.split(), start=1):
+        context.queue.push(
+            _make_entry(number, due_at=float(due_at), has_come_back=number == 3)
+        )
+
+
+@then('they are served at second {now:g} in the order "{names}"')
+def then_due_order(context, now, names):
+    served = [
+        context.queue.pop(now, _can_always_start).request_id
+        for _ in names.split()
+    ]
+    assert served == names.split(), served
+
+
+@when('places become free {rate:g} times a second')
+def when_rate(context, rate):
+    context.rate = rate
+
+
+@then(
+    'the turn of a request of level {level:d} of {whose} organisation comes in '
+    '{seconds:g} seconds'
+)
+def then_turn(context, level, whose, seconds):
+    entry = _make_entry(
+        'new', 'one' if whose == 'the same' else 'other', level=level
+    )
+    expected = context.queue.seconds_until_turn(entry, bool, context.rate, 1)
+    assert abs(expected - seconds) < 0.01, expected
+
+
+@when(
+    '{count:d} requests are rejected while places become free {rate:g} times '
+    'a second'
+)
+def when_rejected(context, count, rate):
+    context.retry_times = [
+        context.queue.promise_retry(0.1, rate, 1) for _ in range(count)
+    ]
+
+
+@then(
+    'their retry times are spread over {seconds:g} seconds, at most {count:d} '
+    'of them within {window:g} seconds'
+)
+def then_spread(context, seconds, count, window):
+    times = sorted(context.retry_times)
+    assert times[-1] - times[0] >= seconds * 0.9, times
+    most = max(
+        sum(begin <= other < begin + window for other in times)
+        for begin in times
+    )
+    assert most <= count, times
