--- /dev/null
+++ b/tests/steps/overload_steps.py
@@ -0,0 +1,77 @@
+"""Steps for gateway processes and more callers than places."""
+
+import re
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from tests.support.gateway_cluster import KEY, request
+
+_EVENTS = 5
+
+
+@given('streams take {seconds:g} seconds')
+def given_duration(context, seconds):
+    for engine in context.cluster.engines.values():
+        engine.event_seconds = seconds / _EVENTS
+
+
+def _stream(context, number):
+    headers = {
+        'X-Attempt-Id': f'burst-{number}',
+        'X-Deadline-Ms': '7000',
+        'X-Key': KEY,
+        'X-Model': 'm1',
+        'X-Token-Count': '20,30',
+    }
+    port = context.cluster.ports['g1']['front']
+    return request(port, 'POST', '/report/x', headers.items(), b'{}')
+
+
+@when('{count:d} callers ask g1 for a stream of m1 at once')
+def when_burst(context, count):
+    context.most_running = 0
+    ended = threading.Event()
+    engines = context.cluster.engines.values()
+
+    def watch():
+        while not ended.is_set():
+            running = [sum(one.running_by_model.values()) for one in engines]
+            context.most_running = max(context.most_running, *running)
+            time.sleep(0.002)
+
+    watcher = threading.Thread(target=watch)
+    watcher.start()
+    with ThreadPoolExecutor(count) as callers:
+        context.responses = list(
+            callers.map(lambda number: _stream(context, number), range(count))
+        )
+    ended.set()
+    watcher.join()
+
+
+@then('no engine ran more than {count:d} requests')
+def then_running(context, count):
+    assert 0 < context.most_running <= count, context.most_running
+
+
+@then(
+    'the lines and metrics of g1 show that {count:d} requests or more had a '
+    'turn'
+)
+def then_shown(context, count):
+    lines = [
+        line
+        for line in context.cluster.log('g1').splitlines()
+        if '"decision":"queue"' in line
+    ]
+    assert len(lines) >= count, lines
+    port = context.cluster.ports['g1']['metrics']
+    _, _, body = request(port, 'GET', '/metrics')
+    found = re.search(
+        r'cowsliprack_queue_decisions_total\{decision="turn"\} (\d+)',
+        body.decode(),
+    )
+    assert found and int(found[1]) == len(lines), body
