Test that a flood has no other organisation refused on the path of serve

Cause: no test covered the refusal of requests whose turn comes too late.

Change: a scenario in dispatcher.feature.

--- a/tests/coordination/dispatcher.feature
+++ b/tests/coordination/dispatcher.feature
@@ -120,3 +120,10 @@
       | 400     | warm     | acme    | configuration_stale |
       | 5       | private  | globex  | dispatch            |
       | 100     | private  | globex  | configuration_stale |
+
+  Scenario: The flood of one organisation does not have others refused (P3)
+    Guards against an estimate that counts all waiting requests although turns
+    are shared between organisations.
+    Given 9 requests for warm of acme wait and a place becomes free every 6 seconds
+    Then another request of acme is refused, to come back in 60 to 78 seconds
+    And another request of globex may wait
--- a/tests/steps/dispatcher_steps.py
+++ b/tests/steps/dispatcher_steps.py
@@ -6,8 +6,10 @@
 
 from behave import given, then, when
 
+from cowsliprack.coordination import estimates
 from cowsliprack.coordination.capacity import Capacity
 from cowsliprack.coordination.dispatcher import Dispatcher
+from cowsliprack.coordination.instance_demand import ResourceDemand
 from cowsliprack.coordination.serving import (
     AttemptFailure,
     Dispatch,
@@ -15,7 +17,7 @@
     ServingRequest,
     ToLeader,
 )
-from cowsliprack.exceptions import Ran
+from cowsliprack.exceptions import ErrorKind, Ran
 from cowsliprack.protocol.peer import (
     ColdStartRefusal,
     CreditGrant,
@@ -428,3 +430,60 @@
 @given('an instance without a source of configuration for {seconds:d} seconds')
 def given_isolated(context, seconds):
     context.harness.dispatcher.on_isolation(seconds)
+
+
+@given(
+    '{count:d} requests for warm of acme wait and a place becomes free every '
+    '{seconds:d} seconds'
+)
+def given_flood(context, count, seconds):
+    harness = context.harness
+    capacity = harness.dispatcher.capacity
+    for number in range(count):
+        request = _waiting_request(f'w{number}', 'acme')
+        harness.dispatcher.queue.push(estimates.queue_entry(request, 0))
+    slots = sum(
+        status.slots
+        for status in capacity.candidates(_waiting_request('x', 'acme'))
+    )
+    capacity.demand.demand_by_resource['warm'] = ResourceDemand(
+        service_seconds=slots * seconds
+    )
+
+
+def _waiting_request(request_id, owner):
+    return ServingRequest(
+        request_id=request_id,
+        organisation=owner,
+        key_digest=owner,
+        resource='warm',
+        is_model=True,
+        tokens=50,
+        deadline=_DEADLINE_SECONDS,
+        received_at=0,
+    )
+
+
+def _wait_refusal(context, owner):
+    dispatcher = context.harness.dispatcher
+    return estimates.refusal_for_wait(
+        _waiting_request('new', owner),
+        dispatcher.capacity,
+        dispatcher.queue,
+        0,
+    )
+
+
+@then(
+    'another request of acme is refused, to come back in {least:g} to {most:g} '
+    'seconds'
+)
+def then_wait_refused(context, least, most):
+    error = _wait_refusal(context, 'acme')
+    assert error.kind is ErrorKind.deadline_unreachable
+    assert least <= error.retry_after <= most, error.retry_after
+
+
+@then('another request of globex may wait')
+def then_may_wait(context):
+    assert _wait_refusal(context, 'globex') is None
