Merge steps of the features of the queue

Change: steps are merged; the checks are the same.

Result: fair_queue.feature (15) and place_turns.feature (15) pass.

--- a/tests/coordination/fair_queue.feature
+++ b/tests/coordination/fair_queue.feature
@@ -70,7 +70,7 @@
     Guards against a level that loses its turn because another model is served.
     Given a fair queue with 200 requests of level 0 and 1 further levels
     When 30 requests are served while those of level 1 cannot start
-    And 1 request is served
+    And 1 requests are served
     Then each further level has been served 1 times
 
   Scenario: Order within an organisation
--- a/tests/steps/fair_queue_steps.py
+++ b/tests/steps/fair_queue_steps.py
@@ -239,17 +239,11 @@
     context.served_levels = []
 
 
-@when('{count:d} requests are served while those of level 1 cannot start')
-def when_some_served(context, count):
-    for _ in range(count):
-        assert context.queue.pop(1, lambda entry: entry.level != 1).level == 0
-
-
-@when('{count:d} request is served')
+@when('{count:d} requests are served{condition}')
 @when('{count:d} requests are served')
-def when_levels_served(context, count):
+def when_levels_served(context, count, condition=''):
     for _ in range(count):
-        entry = context.queue.pop(1, _can_always_start)
+        entry = context.queue.pop(1, lambda e: not (condition and e.level))
         context.served_levels.append(entry.level)
 
 
--- a/tests/steps/place_turns_steps.py
+++ b/tests/steps/place_turns_steps.py
@@ -133,8 +133,9 @@
     context.finder.end_run(_request(), context.records[0], time.monotonic())
 
 
-def _count_less(context):
-    context.selector.update_reported({'e2': 6})
+def _apply_view(context, running_by_id):
+    context.fleet.updated_at = time.monotonic()
+    context.selector.update_reported(running_by_id)
     context.finder.waiting_requests.notify_all()
 
 
@@ -159,7 +160,7 @@
 
 _CHANGES_BY_NAME = {
     'a request ends on e1': _end,
-    'a view counts one less on e2': _count_less,
+    'a view counts one less on e2': lambda c: _apply_view(c, {'e2': 6}),
     'a view says that e2 is gone': lambda c: _replace(c, c.records[:1]),
     'its target goes away': lambda c: _replace(c, []),
     'a new engine holds m0': lambda c: _replace(
@@ -276,13 +277,11 @@
 
 @given('45 full engines and 100 requests that wait for 30 models')
 def given_large(context):
-    # The routes' models are m0 to m3; the queue itself takes any name.
     models = [f'n{number}' for number in range(30)]
     _make_finder(context, [_engine(f'e{n}', *models) for n in range(45)])
     _fill(context)
     # A free place that no waiting request can use makes each look a full one.
-    records = [*context.records, _engine('free', 'm0')]
-    context.fleet.registry.replace(records, 2)
+    context.fleet.registry.replace([*context.records, _engine('free')], 2)
     context.finder.turns.places.queue = _CountedQueue(1000)
     context.waiting = [
         _request(models[number % 30], seconds=8) for number in range(100)
@@ -291,11 +290,7 @@
 
 @when('{seconds:d} second passes in which {count:d} views arrive')
 def when_passes(context, seconds, count):
-    def apply_view():
-        context.fleet.updated_at = time.monotonic()
-        context.finder.waiting_requests.notify_all()
-
-    _watch(context, apply_view, seconds, count)
+    _watch(context, lambda: _apply_view(context, {}), seconds, count)
 
 
 @then('the whole queue was looked at {count:d} times at most')
