--- a/cowsliprack/transport/target_finder.py
+++ b/cowsliprack/transport/target_finder.py
@@ -436,7 +436,7 @@
         # full, and they are worth the wait.
         if target is not None and selector.is_avoided(target.target_id, now):
             target = (
-                target if target in self.targets.sound(usable, now) else None
+                target if target in self.targets.healthy(usable, now) else None
             )
         if target is not None:
             selector.limits.take(target.target_id, now)
--- a/cowsliprack/transport/usable_targets.py
+++ b/cowsliprack/transport/usable_targets.py
@@ -65,8 +65,8 @@
         free = self.places.with_place(usable, now)
         if not free:
             return free
-        sound = self.sound(usable, now)
-        return [record for record in free if record in sound]
+        healthy = self.healthy(usable, now)
+        return [record for record in free if record in healthy]
 
     def awaited(self, request: RoutedRequest, now: float) -> list[TargetRecord]:
         """Return the targets of which a request without a place awaits one.
@@ -75,9 +75,9 @@
         :param now: seconds.
         """
         usable = self.usable(request, now, is_waiting=True)
-        return self.sound(usable, now)
+        return self.healthy(usable, now)
 
-    def sound(
+    def healthy(
         self, records: list[TargetRecord], now: float
     ) -> list[TargetRecord]:
         """Return the targets that do not fail; all reachable ones if all do.
@@ -86,12 +86,12 @@
         :param now: seconds.
         """
         selector = self.target_selector
-        sound = [
+        healthy = [
             record
             for record in records
             if not selector.is_avoided(record.target_id, now)
         ]
-        return sound or [
+        return healthy or [
             record
             for record in records
             if not selector.is_unreachable(record.target_id, now)
