--- a/cowsliprack/coordination/place_queue.py
+++ b/cowsliprack/coordination/place_queue.py
@@ -231,7 +231,11 @@
         running = self._running(record.target_id, others_share)
         if running >= self.places(record, now):
             return False
-        pauses = self.target_selector.pauses
-        if record.target_id not in pauses.brittle_by_id:
+        selector = self.target_selector
+        own = selector.own_by_id[record.target_id]
+        own += self._reserved_by_id.get(record.target_id, 0)
+        if not selector.paces.may_send(record.target_id, own, now):
+            return False
+        if record.target_id not in selector.pauses.brittle_by_id:
             return True
-        return pauses.may_send(record, running, now)
+        return selector.pauses.may_send(record, running, now)
--- a/cowsliprack/coordination/target_pace.py
+++ b/cowsliprack/coordination/target_pace.py
@@ -291,16 +291,6 @@
         draw = self._draw_by_id.setdefault(target_id, self.rng.random())
         return own_running < math.floor(places / self.instances + draw)
 
-    def seconds_until_growth(self, target_id: str, now: float) -> float:
-        """Return when a target may take more requests, in seconds.
-
-        :param target_id: id of the target.
-        :param now: seconds.
-        :returns: 0 for a target that is well.
-        """
-        is_well = math.isinf(self.places(target_id, now))
-        return 0 if is_well else ROUND_SECONDS
-
     def uses(
         self, running_by_id: Mapping[str, int], now: float
     ) -> tuple[PaceUse, ...]:
--- a/tools/bench/rotation_replay.py
+++ b/tools/bench/rotation_replay.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 
 import fire
@@ -553,16 +553,9 @@
             now + min(kind.timeout, kind.patience),
             kind.retries,
             now,
-            self._sample_zone(),
+            _sample_zone(self.workload.zone_shares, self.rng),
         )
 
-    def _sample_zone(self) -> str:
-        shares = self.workload.zone_shares
-        if len(shares) == 1:
-            return 'z0'
-        number = self.rng.choices(range(len(shares)), shares)[0]
-        return f'z{number}'
-
     def _start_waiting(self, now: float) -> None:
         still_waiting = []
         for request in self._waiting:
@@ -772,6 +765,14 @@
         ]
 
 
+def _sample_zone(shares: Sequence[float], rng: random.Random) -> str:
+    """Return the zone of a request, by the shares of the zones."""
+    if len(shares) == 1:
+        return 'z0'
+    number = rng.choices(range(len(shares)), shares)[0]
+    return f'z{number}'
+
+
 def _zone_of(target_id: str, zones: int) -> str:
     number = int(target_id.strip('e+'))
     return f'z{number % zones}'
