Add crowds of callers that stall or do not read

Callers outside the operators' control ended a process, which ran out of memory. The feature starts a gateway with lowered limits.memory_mb and limits.max_fds before stand-ins, lets a crowd come and stay, and checks that the process lives, that its peak memory and its descriptors stay within these limits, and that an ordinary request is answered while the crowd is there and after it has left. The runner starts this feature alone, after the others.

--- /dev/null
+++ b/tests/steps/caller_crowds_steps.py
@@ -0,0 +1,138 @@
+"""Steps for crowds of callers that stall or do not read."""
+
+import time
+
+from behave import given, then, when
+
+from tests.support.caller_crowd import (
+    Crowd,
+    absent,
+    ahead,
+    chunked,
+    is_served,
+    lengthy,
+    open_descriptors,
+    peak_mb,
+    wait_settled,
+)
+from tests.support.gateway_cluster import GatewayCluster
+
+_BODY_BYTES = 1_000_000
+_MAX_BODY_BYTES = 4_194_304
+_PIECE_BYTES = 10_000
+_HALF_HEAD = b'POST /order/1 HTTP/1.1\r\nHost: desk.example\r\n'
+# Long enough for the gateway to notice that connections were closed.
+_LEAVING_SECONDS = 1.0
+
+
+def _short(count):
+    return [lengthy(n, _BODY_BYTES, _BODY_BYTES - 1) for n in range(count)]
+
+
+def _large_chunks(count):
+    return [chunked(n, 15, 61_440) for n in range(count)]
+
+
+def _one_byte_chunks(count):
+    return [chunked(n, 60_000, 1) for n in range(count)]
+
+
+def _whole(count):
+    return [absent(n, _BODY_BYTES) for n in range(count)]
+
+
+def _ahead(count):
+    return [ahead(n, 400, 6000) for n in range(count)]
+
+
+def _idle(count):
+    return [b'' if n % 2 else _HALF_HEAD for n in range(count)]
+
+
+def _mixed(_count):
+    return [
+        *_idle(60),
+        *_short(120),
+        *_large_chunks(60),
+        *_one_byte_chunks(12),
+        *_whole(60),
+        *_ahead(20),
+    ]
+
+
+_PAYLOADS_BY_CROWD = {
+    'bodies that stop one byte short': _short,
+    'chunked bodies of large chunks without the last one': _large_chunks,
+    'chunked bodies of one-byte chunks without the last one': _one_byte_chunks,
+    'whole bodies for a model that lies on no engine': _whole,
+    'connections with requests ahead and no answer read': _ahead,
+    'connections that send nothing or half a head': _idle,
+    'connections of all these kinds': _mixed,
+}
+
+
+@given(
+    'a gateway on a machine with {megabytes:d} MB and {descriptors:d} '
+    'descriptors'
+)
+def given_gateway(context, megabytes, descriptors):
+    cluster = GatewayCluster()
+    context.cluster = cluster
+    context.add_cleanup(cluster.close)
+    cluster.settings_lines = (
+        f'limits.memory_mb={megabytes}',
+        f'limits.max_fds={descriptors}',
+    )
+    cluster.configure(version=2, max_body_bytes=_MAX_BODY_BYTES)
+    for name in ('e1', 'e2'):
+        # The model m3 is loaded after its callers have given up.
+        cluster.engines[name].faults.order_delays = [9] * 200
+    cluster.start('g1')
+    context.process = cluster.processes['g1']
+    context.port = cluster.ports['g1']['front']
+    context.crowd = Crowd(context.port)
+    context.add_cleanup(context.crowd.leave)
+    context.descriptors = 0
+
+
+@when('a crowd comes with {count:d} {kind}, in pieces')
+def when_crowd_in_pieces(context, count, kind):
+    _send(context, count, kind, _PIECE_BYTES)
+
+
+@when('a crowd comes with {count:d} {kind}')
+def when_crowd(context, count, kind):
+    _send(context, count, kind, 0)
+
+
+def _send(context, count, kind, piece):
+    payloads = _PAYLOADS_BY_CROWD[kind](count)
+    assert len(payloads) == count
+    context.crowd.send(payloads, piece)
+    context.descriptors = open_descriptors(context.process)
+    wait_settled(context.process)
+
+
+@when('the crowd has left')
+def when_left(context):
+    context.crowd.leave()
+    time.sleep(_LEAVING_SECONDS)
+    wait_settled(context.process)
+
+
+@then(
+    'the gateway has had at most {megabytes:d} MB and {descriptors:d} '
+    'descriptors'
+)
+def then_bounded(context, megabytes, descriptors):
+    peak = peak_mb(context.process)
+    seen = max(context.descriptors, open_descriptors(context.process))
+    assert peak <= megabytes and seen <= descriptors, (
+        f'{peak:.0f} MB, {seen} descriptors, '
+        f'{context.crowd.closed} of the crowd closed'
+    )
+
+
+@then('an ordinary request is answered')
+def then_answered(context):
+    assert is_served(context.port), context.cluster.log('g1')[-2000:]
--- a/tests/support/gateway_cluster.py
+++ b/tests/support/gateway_cluster.py
@@ -58,6 +58,7 @@
     prefix='/chat/',
     load_seconds=0.2,
     models=MODELS,
+    max_body_bytes=100000,
 ):
     """Return a configuration document as an operator writes it."""
     routes = [
@@ -94,7 +95,10 @@
             {'name': 'llm', 'max_conns': 100, 'engine': engine},
             {'name': 'shop', 'max_conns': 100},
         ],
-        'limits': {'max_body_bytes': 100000, 'idle_timeout_ms': 15000},
+        'limits': {
+            'max_body_bytes': max_body_bytes,
+            'idle_timeout_ms': 15000,
+        },
         'tenants': [
             {
                 'name': 'desk',
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -18,6 +18,9 @@
 _FEATURE_PATTERN = '*.feature'
 # Features that start processes need several cores each.
 _MAX_PARALLEL_FEATURES = 4
+# Crowds of callers bound the memory of a process and load the machine, so their
+# features run alone, after the others.
+_LONE_FEATURES = frozenset(('tests/platform/caller_crowds.feature',))
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,13 +91,7 @@
         feature, several in parallel.
     """
     known_red = read_known_red(_KNOWN_RED_FILE)
-    features = [
-        [str(path)] for path in sorted(Path('tests').rglob(_FEATURE_PATTERN))
-    ]
-    with ThreadPoolExecutor(_MAX_PARALLEL_FEATURES) as workers:
-        runs = list(
-            workers.map(run_behave, [arguments] if arguments else features)
-        )
+    runs = [run_behave(arguments)] if arguments else _run_all()
     statuses = [status for run in runs for status in run.statuses]
     counts = Counter(_normalise_status(status) for _, status in statuses)
     failed = [
@@ -113,6 +110,18 @@
     return 1 if unexpected or broken or not counts['passed'] else 0
 
 
+def _run_all() -> list[BehaveRun]:
+    paths = [
+        path.as_posix()
+        for path in sorted(Path('tests').rglob(_FEATURE_PATTERN))
+    ]
+    beside_others = [[path] for path in paths if path not in _LONE_FEATURES]
+    with ThreadPoolExecutor(_MAX_PARALLEL_FEATURES) as workers:
+        runs = list(workers.map(run_behave, beside_others))
+    alone = [[path] for path in paths if path in _LONE_FEATURES]
+    return [*runs, *map(run_behave, alone)]
+
+
 def run_behave(arguments: list[str]) -> BehaveRun:
     """Run behave in a separate process and print its output.
 
