Bound what an instance holds for its callers

Callers that stall or do not read ended a process: bodies, chunks, bytes read ahead and connections were kept without a bound. One account an instance now counts them, with bounds from limits.memory_mb and limits.max_fds; above them the stalled caller that holds the most is dropped first (503 memory_full, not run, or a closed connection).

--- a/cowsliprack/exceptions.py
+++ b/cowsliprack/exceptions.py
@@ -44,6 +44,7 @@
     stream_broken = 'stream_broken'
     answer_timeout = 'answer_timeout'
     shutting_down = 'shutting_down'
+    memory_full = 'memory_full'
     internal = 'internal'
 
 
@@ -103,6 +104,7 @@
         ErrorKind.stream_broken: ErrorResponse(502, _MAY_HAVE_RUN),
         ErrorKind.answer_timeout: ErrorResponse(504, _MAY_HAVE_RUN),
         ErrorKind.shutting_down: ErrorResponse(503, _NOT_RUN, 1),
+        ErrorKind.memory_full: ErrorResponse(503, _NOT_RUN, 1),
         ErrorKind.internal: ErrorResponse(500, _MAY_HAVE_RUN),
     }
 )
--- a/cowsliprack/metrics.py
+++ b/cowsliprack/metrics.py
@@ -94,6 +94,31 @@
         self._further_replicas.set({}, further_replicas)
 
 
+class CallerMetrics:
+    """Collectors of what a gateway holds for its callers."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Register the collectors.
+
+        :param registry: of the instance.
+        """
+        self.held_bytes = Gauge(
+            'cowsliprack_caller_bytes',
+            'Bytes that are held for callers.',
+            registry=registry,
+        )
+        self.connections = Gauge(
+            'cowsliprack_caller_connections',
+            'Open connections of callers.',
+            registry=registry,
+        )
+        self.dropped = Counter(
+            'cowsliprack_callers_dropped_total',
+            'Requests and connections dropped to bound what is held.',
+            registry=registry,
+        )
+
+
 class Metrics:
     """Collectors of one instance, in a separate registry."""
 
@@ -142,6 +167,7 @@
             'cowsliprack_loop_late_seconds',
             'Time for which the event loop was held up during deadlines.',
         )
+        self.callers = CallerMetrics(self.registry)
         self.first_byte = Histogram(
             'cowsliprack_first_byte_seconds',
             'Time from a request to the first byte of its answer.',
--- a/cowsliprack/platform/settings.py
+++ b/cowsliprack/platform/settings.py
@@ -14,6 +14,11 @@
 # Part of the time limit for configuration changes that is reserved for an
 # instance to detect an outdated reading of its leader and to read the store.
 _STORE_READ_RESERVE_SECONDS = 0.4
+# Memory of the smallest machine, MB, and the usual limit of descriptors.
+_DEFAULT_MEMORY_MB = 200
+_DEFAULT_MAX_FDS = 1024
+# Larger values are errors of the file; infinity is one of them.
+_MAX_LIMIT = 1_000_000_000
 
 
 class _PlatformFields(msgspec.Struct, kw_only=True):
@@ -60,6 +65,14 @@
     # Time within which requests to an evacuated zone must end; 0 where zones
     # are never evacuated.
     evac_ms: float = msgspec.field(name='bounds.evac_ms', default=0)
+    memory_mb: float = msgspec.field(
+        name='limits.memory_mb',
+        default=_DEFAULT_MEMORY_MB,
+    )
+    max_fds: int = msgspec.field(
+        name='limits.max_fds',
+        default=_DEFAULT_MAX_FDS,
+    )
 
 
 def load_platform_settings(
@@ -92,7 +105,7 @@
     """
     raw_fields = _parse_lines(text)
     try:
-        fields = msgspec.convert(raw_fields, _PlatformFields, strict=False)
+        fields = _convert(raw_fields)
         first_port, _, last_port = fields.internal_ports.partition(',')
         return GatewaySettings(
             instance_id=fields.node,
@@ -118,11 +131,26 @@
             max_relay_age_seconds=fields.config_ms / _MS
             - _STORE_READ_RESERVE_SECONDS,
             evacuation_seconds=fields.evac_ms / _MS,
+            memory_megabytes=fields.memory_mb,
+            max_descriptors=fields.max_fds,
         )
     except (msgspec.ValidationError, ValueError) as error:
         raise ConfigurationError([f'settings file: {error}']) from error
 
 
+def _convert(raw_fields: Mapping[str, str]) -> _PlatformFields:
+    fields = msgspec.convert(raw_fields, _PlatformFields, strict=False)
+    _check_limit('limits.memory_mb', fields.memory_mb)
+    _check_limit('limits.max_fds', fields.max_fds)
+    return fields
+
+
+def _check_limit(name: str, limit: float) -> None:
+    # Also false for a value that is not a number.
+    if not 0 < limit <= _MAX_LIMIT:
+        raise ValueError(f'{name}: must be between 0 and {_MAX_LIMIT}')
+
+
 def _parse_lines(text: str) -> Mapping[str, str]:
     fields = {}
     for line in text.splitlines():
--- a/cowsliprack/state/gateway_settings.py
+++ b/cowsliprack/state/gateway_settings.py
@@ -27,6 +27,8 @@
     :param evacuation_seconds: time within which no instance may send to the
         targets of an evacuated zone any more; 0 where zones are never
         evacuated.
+    :param memory_megabytes: memory of the machine.
+    :param max_descriptors: file descriptors that the process may open.
     """
 
     instance_id: str
@@ -51,3 +53,5 @@
     link_megabits: float
     max_relay_age_seconds: float
     evacuation_seconds: float = 0
+    memory_megabytes: float = 200
+    max_descriptors: int = 1024
--- a/cowsliprack/transport/bounded_body.py
+++ b/cowsliprack/transport/bounded_body.py
@@ -13,8 +13,8 @@
 MAX_ANSWER_BYTES = 8_000_000
 # A report lists some dozens of models, adapters and running requests.
 MAX_REPORT_BYTES = 1_000_000
-# Unfinished answers of all requests of an instance together: a fifth of the
-# memory of the smallest instances.
+# Unfinished answers of all requests of an instance together, where the memory
+# of the machine does not say otherwise.
 _MAX_UNFINISHED_BYTES = 60_000_000
 
 
--- a/cowsliprack/transport/exchange.py
+++ b/cowsliprack/transport/exchange.py
@@ -5,11 +5,14 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import anyio
 import msgspec
 
+from cowsliprack.coordination.caller_memory import CallerMemory, Holding
 from cowsliprack.exceptions import ErrorKind, ServingError
 from cowsliprack.protocol.credentials import HeaderList
 from cowsliprack.protocol.sse import error_body
+from cowsliprack.transport.clock import read_clock
 from cowsliprack.transport.final_status import is_final_status
 
 AsgiMessage = dict[str, Any]
@@ -17,12 +20,30 @@
 Send = Callable[[AsgiMessage], Awaitable[None]]
 
 _JSON = 'application/json'
+# Key of a function in the state of an ASGI scope that closes the connection
+# without sending what its caller has not taken yet.
+ABORT_KEY = 'abort'
+# Longer parts of an answer are sent in slices, so that the rest is not copied
+# to the buffer of a connection whose caller reads slowly.
+_SLICE_BYTES = 65_536
 
 
 def _keep_open() -> bool:
     return False
 
 
+def _abort_nothing() -> None:
+    """Close nothing: there is no connection of a caller."""
+
+
+def memory_full() -> ServingError:
+    """Return the error of a request whose bytes were dropped."""
+    return ServingError(
+        ErrorKind.memory_full,
+        'the instance holds too many bytes for its callers',
+    )
+
+
 @dataclass(slots=True)
 class Exchange:
     """One request of a caller and the state of its answer.
@@ -31,6 +52,10 @@
     :param raw_path: as the caller sent it, without the query.
     :param started: status and headers have been sent.
     :param should_close: whether to close the connection after the answer.
+    :param abort: closes the connection at once.
+    :param memory: account of the bytes that are held for callers, if any.
+    :param holding: the part of this request.
+    :param body_bytes: size of the body that is held.
     """
 
     method: str
@@ -43,16 +68,31 @@
     started: bool = False
     status: int = 0
     should_close: Callable[[], bool] = field(default=_keep_open, repr=False)
+    abort: Callable[[], None] = field(default=_abort_nothing, repr=False)
+    memory: CallerMemory | None = field(default=None, repr=False)
+    holding: Holding = field(default_factory=Holding, repr=False)
+    body_bytes: int = 0
 
     async def read_body(self, limit: int) -> bytes:
         """Return the request body, reading at most about the limit.
 
         :param limit: bytes.
-        :raises ServingError: ``body_too_large``, or ``bad_request`` when the
-            caller disconnected.
+        :raises ServingError: ``body_too_large``, ``bad_request`` when the
+            caller disconnected, or ``memory_full``.
         """
-        chunks = []
-        size = 0
+        # Chunks may be of one byte each, so they are joined as they arrive.
+        body = bytearray()
+        holding = self.holding
+        with anyio.CancelScope() as scope:
+            holding.drop = _body_dropper(body, scope)
+            await self._read_into(body, limit)
+        holding.detach()
+        if holding.is_dropped:
+            raise memory_full()
+        holding.waits_for_caller = False
+        return bytes(body)
+
+    async def _read_into(self, body: bytearray, limit: int) -> None:
         more = True
         while more:
             message = await self.receive()
@@ -61,16 +101,22 @@
                     ErrorKind.bad_request,
                     'the caller closed the connection',
                 )
-            chunk = message.get('body', b'')
-            size += len(chunk)
-            if size > limit:
+            if self.holding.is_dropped:
+                # The cancellation waits while messages keep coming.
+                return
+            body.extend(message.get('body', b''))
+            if len(body) > limit:
                 raise ServingError(
                     ErrorKind.body_too_large,
                     f'the body is larger than {limit} bytes',
                 )
-            chunks.append(chunk)
+            self.body_bytes = len(body)
+            self._keep(self.body_bytes)
             more = message.get('more_body', False)
-        return b''.join(chunks)
+
+    def _keep(self, held_bytes: int) -> None:
+        if self.memory is not None:
+            self.memory.keep(self.holding, held_bytes, read_clock())
 
     async def wait_for_disconnect(self) -> None:
         """Return when the caller has closed the connection."""
@@ -131,6 +177,8 @@
         :param chunk: bytes.
         :param more: whether further parts follow.
         """
+        if len(chunk) > _SLICE_BYTES:
+            chunk = await self._write_slices(chunk)
         await self.send(
             {
                 'type': 'http.response.body',
@@ -139,6 +187,25 @@
             }
         )
 
+    async def _write_slices(self, chunk: bytes) -> bytes:
+        """Send all but the last slice of a part of the body; return that."""
+        self.holding.waits_for_caller = True
+        for start in range(0, len(chunk), _SLICE_BYTES):
+            # The whole of it is held until its caller has taken the last
+            # slice; each one before is progress.
+            self._keep(self.body_bytes + len(chunk))
+            end = start + _SLICE_BYTES
+            if end >= len(chunk):
+                return chunk[start:]
+            await self.send(
+                {
+                    'type': 'http.response.body',
+                    'body': chunk[start:end],
+                    'more_body': True,
+                }
+            )
+        return b''
+
     async def answer(
         self,
         body: bytes,
@@ -187,6 +254,18 @@
         )
 
 
+def _body_dropper(
+    body: bytearray, scope: anyio.CancelScope
+) -> Callable[[], None]:
+    """Return a function that drops a body that is being read."""
+
+    def drop() -> None:  # noqa: WPS430
+        body.clear()
+        scope.cancel()
+
+    return drop
+
+
 def exchange_from_scope(
     scope: Mapping[str, Any],
     receive: Receive,
@@ -210,4 +289,5 @@
         receive=receive,
         send=send,
         should_close=should_close,
+        abort=scope.get('state', {}).get(ABORT_KEY, _abort_nothing),
     )
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -21,6 +21,7 @@
 from cowsliprack.state.gateway_settings import GatewaySettings
 from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.state.store_version import era_of, revision_of
+from cowsliprack.transport.caller_watch import CallerWatch, watch_callers
 from cowsliprack.transport.clock import read_clock
 from cowsliprack.transport.exchange import (
     Exchange,
@@ -28,7 +29,6 @@
     Send,
     exchange_from_scope,
 )
-from cowsliprack.transport.http_listener import serve_addresses
 from cowsliprack.transport.peer_sockets import PeerSockets
 from cowsliprack.transport.poison_watch import PoisonWatch
 from cowsliprack.transport.region import (
@@ -91,6 +91,7 @@
     region: Region = field(init=False)
     target_feed: TargetFeed = field(init=False)
     server: RouteServer = field(init=False)
+    callers: CallerWatch = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the components without starting them."""
@@ -162,6 +163,7 @@
                 {'decision': decision}
             ),
         )
+        self.callers = watch_callers(settings, self.metrics)
         relay = RouteRelay(
             client=self.client,
             dialect=self.bindings.dialect,
@@ -182,6 +184,7 @@
             instances=lambda: credit.instances,
             cold_found=self.region.conditions.record_cold,
             run_ended=finder.end_run,
+            answers=self.callers.answers,
         )
         self.server = RouteServer(
             dialect=self.bindings.dialect,
@@ -194,6 +197,7 @@
             closing=self.is_draining,
             stopped=self.is_stopped,
             clock=read_clock,
+            memory=self.callers.memory,
         )
         self.region.passing.serve = self.server.serve_passed
 
@@ -317,7 +321,7 @@
             settings.ready_address,
             settings.metrics_address,
         ]
-        await serve_addresses(
+        await self.callers.serve(
             self._handle,
             addresses,
             stopped,
@@ -365,6 +369,7 @@
             selector.outcomes.paused_by_model.total(),
             term.state.further_replicas() if term else 0,
         )
+        self.callers.update_metrics()
         self.metrics.loop_late.set({}, self.running_time.late_seconds)
         text, headers = self.metrics.render(['text/plain'])
         content_type = headers.get('Content-Type', 'text/plain')
--- a/cowsliprack/transport/route_server.py
+++ b/cowsliprack/transport/route_server.py
@@ -9,6 +9,7 @@
 import msgspec
 import structlog
 
+from cowsliprack.coordination.caller_memory import CallerMemory
 from cowsliprack.coordination.freshness import Freshness
 from cowsliprack.coordination.poison import part_digest, routed_digest
 from cowsliprack.coordination.token_credit import TokenCredit
@@ -29,6 +30,7 @@
     Receive,
     Send,
     exchange_from_scope,
+    memory_full,
 )
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.routed_request import RoutedRequest
@@ -59,6 +61,7 @@
     :param closing: returns whether to close connections after the response.
     :param stopped: returns whether idle connections are being closed.
     :param clock: seconds; must keep running during suspension.
+    :param memory: account of the bytes that are held for callers, if any.
     """
 
     dialect: Dialect
@@ -73,6 +76,7 @@
     clock: Callable[[], float]
     rng: random.Random = field(default_factory=random.Random)
     open_requests: int = 0
+    memory: CallerMemory | None = None
 
     async def __call__(
         self,
@@ -118,6 +122,22 @@
         exchange: Exchange,
         arrived_at: float,
         passed: PassedRequest | None = None,
+    ) -> RoutedRequest | None:
+        if self.memory is None:
+            return await self._answer(exchange, arrived_at, passed)
+        exchange.memory = self.memory
+        self.memory.add(exchange.holding, self.clock())
+        try:
+            return await self._answer(exchange, arrived_at, passed)
+        finally:
+            self.memory.remove(exchange.holding)
+            exchange.holding.detach()
+
+    async def _answer(
+        self,
+        exchange: Exchange,
+        arrived_at: float,
+        passed: PassedRequest | None,
     ) -> RoutedRequest | None:
         metadata = self.dialect.read_request(exchange.headers)
         request: RoutedRequest | None = None
@@ -263,7 +283,13 @@
     async def _serve(self, request: RoutedRequest) -> str:
         outcome = 'caller_left'
         failures: list[ServingError] = []
+        holding = request.exchange.holding
         async with anyio.create_task_group() as tasks:
+            if holding.is_dropped:
+                tasks.cancel_scope.cancel()
+            if self.memory is not None:
+                holding.drop = _dropper(request.exchange, tasks.cancel_scope)
+                holding.is_spared = request.is_in_doubt
             # The frames of a cancelled task are kept until the next garbage
             # collection, so they do not refer to the request.
             tasks.start_soon(
@@ -279,6 +305,8 @@
             # An error that its own traceback refers to is kept, with all that
             # was read from the target, until the next garbage collection.
             raise failures.pop()
+        if holding.is_dropped and outcome != 'answered':
+            raise _dropped(request)
         return outcome
 
     async def _reject(
@@ -381,6 +409,30 @@
     return round(seconds * _MS)
 
 
+def _dropper(
+    exchange: Exchange, scope: anyio.CancelScope
+) -> Callable[[], None]:
+    """Return a function that ends a request whose bytes are dropped."""
+
+    def drop() -> None:  # noqa: WPS430
+        scope.cancel()
+        if exchange.started:
+            # Its caller does not read, so an orderly end would not come.
+            exchange.abort()
+
+    return drop
+
+
+def _dropped(request: RoutedRequest) -> ServingError:
+    request.body = b''
+    if request.is_in_doubt():
+        return ServingError(
+            ErrorKind.target_failed,
+            'its bytes were dropped while a target had it',
+        )
+    return memory_full()
+
+
 async def _cancel_on_disconnect(
     exchange: Exchange, scope: anyio.CancelScope
 ) -> None:
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -108,6 +108,10 @@
       | no node              | node           |
       | a malformed bound    | bounds.revoke_ms |
       | no internal ports    | internal_ports |
+      | memory that is no number | limits.memory_mb |
+      | memory in words      | limits.memory_mb |
+      | no descriptors       | limits.max_fds |
+      | half a descriptor    | limits.max_fds |
       | no file              | missing.conf   |
 
   Scenario: Unknown lines and fields of the settings file are ignored
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -92,6 +92,10 @@
     context.settings_text = {
         'no node': SETTINGS.replace('node=g1\n', ''),
         'a malformed bound': f'{SETTINGS}bounds.revoke_ms=soon\n',
+        'memory that is no number': f'{SETTINGS}limits.memory_mb=nan\n',
+        'memory in words': f'{SETTINGS}limits.memory_mb=much\n',
+        'no descriptors': f'{SETTINGS}limits.max_fds=0\n',
+        'half a descriptor': f'{SETTINGS}limits.max_fds=100.5\n',
         'no internal ports': SETTINGS.replace('internal_ports=3,4\n', ''),
         'unknown lines and fields': f'{SETTINGS}a line\nx.y=1\n=\n\x00\n',
         'no file': None,
