--- a/cowsliprack/metrics.py
+++ b/cowsliprack/metrics.py
@@ -167,7 +167,6 @@
             'cowsliprack_loop_late_seconds',
             'Time for which the event loop was held up during deadlines.',
         )
-        self.callers = CallerMetrics(self.registry)
         self.first_byte = Histogram(
             'cowsliprack_first_byte_seconds',
             'Time from a request to the first byte of its answer.',
--- a/cowsliprack/transport/caller_watch.py
+++ b/cowsliprack/transport/caller_watch.py
@@ -117,7 +117,7 @@
         memory,
         listener_limits,
         AnswerMemory(limits.unfinished_bytes),
-        metrics.callers,
+        CallerMetrics(metrics.registry),
     )
     listener_limits.swept = watch.look
     return watch
