State the instances of the region in the lease object

Cause: after a loss of all instances, no process knows how many share the limits, nor whom to ask before anybody leads.

Change: the holder of the lease adds the number of instances and, up to 8,000 bytes, their ids, addresses, zones and processes. Earlier builds ignore both fields and drop them with their next write.

--- a/cowsliprack/coordination/lease.py
+++ b/cowsliprack/coordination/lease.py
@@ -17,6 +17,7 @@
     Candidate,
     LeaseAction,
     LeaseBody,
+    LeaseMembers,
     LeaseObservation,
     ReadLease,
     VersionAges,
@@ -66,6 +67,7 @@
     :param first_start: whether no process of the system ran before.
     :param version_ages: returns what each write says of software versions, see
         ``LeaseBody``; empty if it is not known.
+    :ivar members: returns the instances of the region for each write.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         self._rng = rng
         self._first_start = first_start
         self._version_ages = version_ages
+        self.members: Callable[[], LeaseMembers] = LeaseMembers
         # ``None`` while the lease is not held.
         self._deadline: float | None = None
         # Era of the store in which this instance last wrote the lease.
@@ -454,6 +457,7 @@
         body = self._candidate.body(
             fencing, remaining, era, self._version_ages()
         )
+        body.update(self.members().fields())
         if releases:
             released_by = self._candidate.instance_id
             body.update(
--- a/cowsliprack/coordination/lease_record.py
+++ b/cowsliprack/coordination/lease_record.py
@@ -6,6 +6,7 @@
 import msgspec
 import structlog
 
+from cowsliprack.protocol.gateway_messages import PeerView
 from cowsliprack.protocol.store import StoredObject, new_attempt_id
 from cowsliprack.state.store_version import join_version
 
@@ -27,10 +28,34 @@
 # Largest version ages in the lease, as JSON. Versions are texts of any length
 # that targets state, and the store refuses large objects.
 _MAX_VERSION_BYTES = 20_000
+# Largest list of instances in the lease, as JSON: about 120 instances. Larger
+# regions record their number only.
+_MAX_PEER_BYTES = 8_000
 
 _log = structlog.get_logger('cowsliprack.lease')
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseMembers:
+    """The instances of a region, as its leader records them in the lease.
+
+    After a loss of all instances, nothing else states how many there are.
+
+    :param count: instances that share the limits; 0 if unknown.
+    :param peers: all of them; none if they are unknown or too many.
+    """
+
+    count: int = 0
+    peers: tuple[PeerView, ...] = ()
+
+    def fields(self) -> dict[str, object]:
+        """Return the fields of the lease object."""
+        peers = msgspec.to_builtins(self.peers)
+        if len(msgspec.json.encode(peers)) > _MAX_PEER_BYTES:
+            peers = ()
+        return {'members': self.count, 'peers': peers} if self.count else {}
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseBody:
     """Content of the lease object.
@@ -48,6 +73,8 @@
         know all of them, or is of an earlier build.
     :param released_by: id of the instance that released the lease; empty if it
         is held, or was released by an earlier build, which drops the field.
+    :param members: of the region; empty if the holder did not know them, or is
+        of an earlier build.
     """
 
     holder: str = ''
@@ -60,6 +87,7 @@
     era: int = 0
     version_ages: VersionAges | None = None
     released_by: str = ''
+    members: LeaseMembers = LeaseMembers()
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,9 +133,21 @@
         era=int(str(body.get('era', 0))),
         version_ages=_parse_version_ages(body.get('version_ages')),
         released_by=str(body.get('released_by', '')),
+        members=_parse_members(body),
     )
 
 
+def _parse_members(body: Mapping[str, object]) -> LeaseMembers:
+    try:
+        return LeaseMembers(
+            msgspec.convert(body.get('members', 0), int),
+            msgspec.convert(body.get('peers', ()), tuple[PeerView, ...]),
+        )
+    except msgspec.ValidationError as error:
+        _log.warning('lease_members_malformed', error=str(error))
+        return LeaseMembers()
+
+
 def _parse_version_ages(ages: object) -> VersionAges | None:
     if ages is None:
         return None
