Lend tokens between instances while the leader is silent or new

Change: an instance whose leader is silent for a second, or began its term in the last window, charges a request to its own part and asks others, its own zone first, for what is missing; what was lent in vain is returned. A process learns from the lease how many others there are, and a new leader announces itself to those. Setting bounds.quota_overrun, without which nothing changes; log lines, a metric, a design note, protections.

--- a/cowsliprack/metrics.py
+++ b/cowsliprack/metrics.py
@@ -137,6 +137,10 @@
             'cowsliprack_retries_total',
             'Requests sent again to another target.',
         )
+        self.charged_alone = self._gauge(
+            'cowsliprack_charged_without_leader',
+            'Requests admitted or refused without the leader; tokens lent.',
+        )
         self.store_returns = self._counter(
             'cowsliprack_store_returns_total',
             'Times that the store was seen to come back from an older copy.',
--- a/cowsliprack/platform/settings.py
+++ b/cowsliprack/platform/settings.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -58,6 +59,10 @@
     cores: float = msgspec.field(name='limits.cores', default=1)
     link_mbps: float = msgspec.field(name='limits.link_mbps', default=1000)
     quota_slack: float = msgspec.field(name='bounds.quota_slack', default=0)
+    quota_overrun: Annotated[float, msgspec.Meta(ge=0, le=1)] = msgspec.field(
+        name='bounds.quota_overrun',
+        default=0,
+    )
     quota_window_s: float = msgspec.field(
         name='bounds.quota_window_s',
         default=8,
@@ -126,6 +131,7 @@
             retry_window_seconds=fields.budget_window_s,
             quota_window_seconds=fields.quota_window_s,
             quota_slack=fields.quota_slack,
+            quota_overrun=fields.quota_overrun,
             cores=fields.cpu_share * fields.cores,
             link_megabits=fields.link_mbps,
             max_relay_age_seconds=fields.config_ms / _MS
--- a/cowsliprack/protocol/gateway_messages.py
+++ b/cowsliprack/protocol/gateway_messages.py
@@ -2,7 +2,13 @@
 
 import msgspec
 
-from cowsliprack.protocol.credit_messages import CreditShare, CreditUse
+from cowsliprack.protocol.credit_messages import (
+    CreditShare,
+    CreditUse,
+    TokenLoan,
+    TokenLoanAsk,
+    TokenLoanReturn,
+)
 from cowsliprack.protocol.overload_messages import (
     ColdShare,
     ColdUse,
@@ -498,6 +504,9 @@
     | LeaderAnnounced
     | CreditAsk
     | CreditAnswer
+    | TokenLoanAsk
+    | TokenLoan
+    | TokenLoanReturn
     | ConfigurationCopy
     | CompressedConfiguration
     | StreamsBegun
--- a/cowsliprack/state/gateway_settings.py
+++ b/cowsliprack/state/gateway_settings.py
@@ -21,6 +21,8 @@
     :param link_megabits: bandwidth of the instance's link a second.
     :param quota_slack: tokens by which an organisation may exceed its limit in
         one window.
+    :param quota_overrun: fraction by which an organisation may exceed its
+        limit in one window, beside the slack.
     :param retry_ratio: retries allowed per request, over all instances.
     :param retry_slack: additional retries allowed in one window, over all
         instances.
@@ -55,3 +57,4 @@
     evacuation_seconds: float = 0
     memory_megabytes: float = 200
     max_descriptors: int = 1024
+    quota_overrun: float = 0
--- a/cowsliprack/transport/credit_asks.py
+++ b/cowsliprack/transport/credit_asks.py
@@ -1,6 +1,6 @@
 """Charges tokens to organisations, with credit of the leader if needed."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -20,6 +20,10 @@
 _HEARD_SECONDS = 1.0
 
 
+async def _charge_nothing(_organisation: OrganisationLimits, _: float) -> bool:
+    return False
+
+
 @dataclass(slots=True)
 class _PendingAsk:
     answered: anyio.Event = field(default_factory=anyio.Event)
@@ -35,6 +39,10 @@
     :param send_to_leader: sends a message to it.
     :param heard_at: returns the time of the leader's last view, seconds.
     :param clock: seconds; must keep running during suspension.
+    :param charge_alone: charges tokens without the leader (organisation,
+        tokens); returns whether it has.
+    :param is_led_anew: returns whether the leader has begun its term lately, so
+        that it grants little.
     """
 
     instance_id: str
@@ -43,6 +51,10 @@
     send_to_leader: Callable[[CreditAsk], None]
     heard_at: Callable[[], float]
     clock: Callable[[], float]
+    charge_alone: Callable[[OrganisationLimits, float], Awaitable[bool]] = (
+        _charge_nothing
+    )
+    is_led_anew: Callable[[], bool] = bool
     _count: int = 0
     _pending_by_number: dict[int, _PendingAsk] = field(default_factory=dict)
 
@@ -64,8 +76,15 @@
         credit.wanted.add(organisation.name, round(tokens), self.clock())
         if credit.spend(organisation, tokens, self.clock()):
             return None
+        if not self._is_heard() and await self.charge_alone(
+            organisation, tokens
+        ):
+            return None
         wait = await self._reserve_future_tokens(organisation, tokens)
         if wait is None:
+            may_grant = self._is_heard() and not self.is_led_anew()
+            if not may_grant and await self.charge_alone(organisation, tokens):
+                return None
             return credit.refuse(organisation, tokens, self.clock())
         await anyio.sleep(wait)
         return None
@@ -111,6 +130,9 @@
             credit.give_back(organisation, rest, self.clock())
         return credit.spend_ahead(organisation, tokens, self.clock())
 
+    def _is_heard(self) -> bool:
+        return self.clock() - self.heard_at() < _HEARD_SECONDS
+
     async def _ask(
         self,
         organisation: OrganisationLimits,
@@ -136,7 +158,7 @@
     ) -> None:
         """Wait for the answer to an ask; a new leader is asked as well."""
         now = self.clock()
-        is_heard = now - self.heard_at() < _HEARD_SECONDS
+        is_heard = self._is_heard()
         seconds = _ANSWER_SECONDS if is_heard else _SILENT_ANSWER_SECONDS
         ends_at = now + seconds
         asked_id = ''
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -101,6 +101,8 @@
         credit = TokenCredit(
             settings.quota_slack,
             settings.quota_window_seconds,
+            overrun=settings.quota_overrun,
+            started_at=read_clock(),
         )
         poison = PoisonWatch(self.fleet.registry, read_clock)
         self.target_feed = TargetFeed(
@@ -370,6 +372,9 @@
             term.state.further_replicas() if term else 0,
         )
         self.callers.update_metrics()
+        loans = self.region.credit_loans
+        for outcome, count in loans.counts.items():
+            self.metrics.charged_alone.set({'outcome': outcome}, count)
         self.metrics.loop_late.set({}, self.running_time.late_seconds)
         text, headers = self.metrics.render(['text/plain'])
         content_type = headers.get('Content-Type', 'text/plain')
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -20,6 +20,11 @@
     seconds_before_turn,
     turns_begin,
 )
+from cowsliprack.protocol.credit_messages import (
+    TokenLoan,
+    TokenLoanAsk,
+    TokenLoanReturn,
+)
 from cowsliprack.protocol.gateway_messages import (
     CompressedConfiguration,
     ConfigurationCopy,
@@ -46,6 +51,8 @@
 )
 from cowsliprack.transport.configuration_copies import unpack_configuration
 from cowsliprack.transport.credit_asks import CreditAsks
+from cowsliprack.transport.credit_loans import CreditLoans
+from cowsliprack.transport.known_instances import KnownInstances
 from cowsliprack.transport.lease_calls import execute_lease_action
 from cowsliprack.transport.message_guard import MessageGuard
 from cowsliprack.transport.origin_exchange import OriginExchange
@@ -106,6 +113,8 @@
     passing: RequestPassing = field(init=False)
     reach_watch: ReachWatch = field(init=False)
     conditions: TargetConditions = field(init=False)
+    instances: KnownInstances = field(init=False)
+    credit_loans: CreditLoans = field(init=False)
     credit_asks: CreditAsks = field(init=False)
 
     def __post_init__(self) -> None:
@@ -174,6 +183,22 @@
             ),
             context.clock,
         )
+        self.instances = KnownInstances(
+            context.credit,
+            lambda: self.origins.peers,
+            self.origins.apply_peers,
+            context.clock,
+        )
+        self.credit_loans = CreditLoans(
+            context.instance_id,
+            context.address,
+            context.zone,
+            context.credit,
+            self.instances.peers,
+            self._deliver,
+            lambda name: context.table().organisations_by_name.get(name),
+            context.clock,
+        )
         self.credit_asks = CreditAsks(
             context.instance_id,
             context.credit,
@@ -181,6 +206,8 @@
             self._send_to_leader,
             lambda: context.fleet.updated_at,
             context.clock,
+            self.credit_loans.charge,
+            self.instances.is_led_anew,
         )
         self.lease = Lease(
             context.region,
@@ -192,6 +219,7 @@
             first_start=context.first_start,
             version_ages=self.origins.version_ages,
         )
+        self.lease.members = self.instances.to_record
         self.lease.terms.others_rest = lambda: self._builds.all_rest(
             context.clock()
         )
@@ -253,6 +281,8 @@
             await self._carry_out(self._tick_lease(now))
             self.origins.inherit(self.lease.inherited())
             record = self.lease.observation.record
+            if record is not None:
+                self.instances.inherit(record.members)
             if record is not None and record.holder:
                 self._follow(record.holder, record.address, record.fencing)
             await anyio.sleep(_LEASE_CHECK_INTERVAL_SECONDS)
@@ -311,7 +341,7 @@
                     self.origins.version_ages,
                     self.reach_watch,
                     self._store_limits,
-                    self.origins.peers,
+                    self.instances.peers(),
                     self._past_leaders,
                 )
                 self.term = term
@@ -370,6 +400,8 @@
                 self.term.apply_notices(message)
             case CreditAnswer():
                 self._apply_credit_answer(message)
+            case TokenLoanAsk() | TokenLoan() | TokenLoanReturn():
+                self.credit_loans.handle(message)
             case StreamsBegun() | OriginQuestion() | OriginAnswer():
                 self.origins.handle(message)
             case _ if isinstance(message, PassMessage):
@@ -405,9 +437,8 @@
             view.lease_left,
             now,
         )
-        self.context.credit.instances = view.members
         self.conditions.apply_view(view)
-        self.origins.apply_peers(view)
+        self.instances.apply_view(view, is_new=is_new)
         self._apply_credit_shares(view, now)
         self._store_limits = view.store_limits or self._store_limits
         self._apply_store_readings(view)
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -14,6 +14,7 @@
 from cowsliprack.coordination.credit_shares import (
     SHARE_LIFETIME_SECONDS,
     CreditShares,
+    unheard_fraction,
 )
 from cowsliprack.coordination.lease import Lease, Role
 from cowsliprack.coordination.lease_terms import rest_seconds
@@ -378,7 +379,10 @@
         self._log_missing_weights(now)
         _log_paces(self.state.paces)
         organisations = self._context.table().organisations_by_name.values()
-        instances = self.state.member_count(now)
+        # Few instances have reported in the first moments of a term.
+        instances = max(
+            self.state.member_count(now), self._context.credit.known_instances()
+        )
         self._settle_shares(now)
         self._credit_shares.divide(
             organisations, instances, self._leader_credit.granted, now
@@ -400,14 +404,21 @@
         return self._context.first_start and not self._peers
 
     def _settle_shares(self, now: float) -> None:
-        """Divide limits freely once all parts of earlier terms are known."""
-        is_known = self._is_first_term()
-        if self._peers:
+        """Allow for parts of earlier terms that are not known yet."""
+        shares = self._credit_shares
+        unheard: float = 0
+        if now < shares.known_at and not self._is_first_term():
             heard = self.state.members_by_id.keys()
-            is_known = heard >= {peer.instance_id for peer in self._peers}
-        if is_known:
-            shares = self._credit_shares
-            shares.known_at = min(shares.known_at, now)
+            unheard = unheard_fraction(self._peers, heard)
+        if unheard != shares.unheard:
+            _log.info(
+                'limit_parts_unheard',
+                fencing=self.state.fencing,
+                fraction=unheard,
+                known_instances=len(self._peers),
+                heard_instances=len(self.state.members_by_id),
+            )
+        shares.unheard = unheard
 
     def _log_missing_weights(self, now: float) -> None:
         if now - self._missing_logged_at < _MISSING_LOG_INTERVAL_SECONDS:
