Explain where a request would be sent

Cause: an operator could not ask an instance why a request goes where it goes.

Change: cowsliprack explain asks a running instance at its metrics address. The answer comes from TargetFinder.find and TargetSelector on copies of the state that they change, up to the point where a request would wait; the finder itself is unchanged. RouteServer.identify holds what admission and the command share. The process id moves to the defaults of RegionContext, which frees an import of the gateway.

--- a/cowsliprack/cli.py
+++ b/cowsliprack/cli.py
@@ -1,4 +1,4 @@
-"""Command-line interface: serve, platform, check, diff, apply, show, digest."""
+"""Command-line interface: serve, platform and the operators' commands."""
 
 import importlib
 import sys
@@ -74,4 +74,6 @@
         'cowsliprack.transport.operator_commands',
     )
     names = ('check', 'diff', 'apply', 'show', 'digest')
-    return {name: getattr(operator, name) for name in names}
+    explain = importlib.import_module('cowsliprack.transport.explain_command')
+    commands = {name: getattr(operator, name) for name in names}
+    return {**commands, 'explain': explain.explain}
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -14,9 +14,12 @@
 from cowsliprack.coordination.target_selector import TargetSelector
 from cowsliprack.coordination.token_credit import TokenCredit
 from cowsliprack.coordination.waiting_requests import WaitingRequests
-from cowsliprack.exceptions import ConfigurationError, PeerMessageError
+from cowsliprack.exceptions import (
+    ConfigurationError,
+    PeerMessageError,
+    ServingError,
+)
 from cowsliprack.metrics import Metrics
-from cowsliprack.protocol.message_level import new_process_id
 from cowsliprack.protocol.platform_bindings import PlatformBindings
 from cowsliprack.state.gateway_settings import GatewaySettings
 from cowsliprack.state.routing_table import RoutingTable
@@ -36,6 +39,11 @@
     RegionContext,
     wait_released,
 )
+from cowsliprack.transport.route_explanation import (
+    EXPLAIN_PATH,
+    RouteExplainer,
+    answer_question,
+)
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.route_server import RouteServer
 from cowsliprack.transport.running_time import RunningTime
@@ -54,6 +62,8 @@
 _FINAL_RESPONSE_SECONDS = 0.4
 # Time in which the last messages to other instances leave.
 _MESSAGE_SECONDS = 0.05
+# Largest question of an operator about routing.
+_MAX_QUESTION_BYTES = 65_536
 # Target changes within this time are handled as one batch.
 _TARGET_BATCH_SECONDS = 0.2
 
@@ -117,7 +127,6 @@
         self.region = Region(
             RegionContext(
                 instance_id=settings.instance_id,
-                boot=new_process_id(),
                 zone=settings.zone,
                 region=settings.region,
                 address=self.sockets.address,
@@ -344,7 +353,7 @@
         elif address == self.settings.ready_address:
             await self._answer_ready(exchange_from_scope(scope, receive, send))
         else:
-            await self._answer_metrics(
+            await self._answer_operator(
                 exchange_from_scope(scope, receive, send)
             )
 
@@ -352,6 +361,24 @@
         ready = exchange.path == self.bindings.ready_path and self.is_ready()
         await exchange.answer(b'{}', status=200 if ready else 503)
 
+    async def _answer_operator(self, exchange: Exchange) -> None:
+        if exchange.path != EXPLAIN_PATH:
+            await self._answer_metrics(exchange)
+            return
+        try:
+            body = await exchange.read_body(_MAX_QUESTION_BYTES)
+        except ServingError as error:
+            await exchange.answer_error(error)
+            return
+        explainer = RouteExplainer(
+            self.server,
+            self.server.relay.finder,
+            self.region.context.credit,
+            read_clock,
+        )
+        status, answer = await answer_question(explainer, body)
+        await exchange.answer(answer, status=status)
+
     async def _answer_metrics(self, exchange: Exchange) -> None:
         self.metrics.generation.set({}, self.table.generation)
         self.metrics.leader.set({}, int(self.region.is_leading()))
--- a/cowsliprack/transport/region_context.py
+++ b/cowsliprack/transport/region_context.py
@@ -1,7 +1,7 @@
 """Components that the region tasks share with their instance."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import httpx
 
@@ -13,6 +13,7 @@
 from cowsliprack.protocol.dialect import HeaderPairs, TargetNotice
 from cowsliprack.protocol.engine import EngineControl
 from cowsliprack.protocol.gateway_messages import LeaderView
+from cowsliprack.protocol.message_level import new_process_id
 from cowsliprack.protocol.store import ObjectStore
 from cowsliprack.state.routing_table import RoutingTable
 from cowsliprack.transport.peer_sockets import PeerSockets
@@ -24,7 +25,6 @@
 class RegionContext:
     """Components that the region tasks share with their instance.
 
-    :param boot: random id of this run of the process.
     :param address: address at which other instances reach this one.
     :param first_start: whether no process of the system ran before.
     :param cores: number of CPU cores that the instance may use.
@@ -42,10 +42,10 @@
     :param read_notice: returns what a target's response (status, headers) says
         of the target.
     :param clock: seconds; must keep running during suspension.
+    :param boot: random id of this run of the process.
     """
 
     instance_id: str
-    boot: str
     zone: str
     region: str
     address: str
@@ -71,3 +71,4 @@
     apply_relayed_targets: Callable[[LeaderView], bool]
     read_notice: Callable[[int, HeaderPairs], TargetNotice]
     clock: Callable[[], float]
+    boot: str = field(default_factory=new_process_id)
--- a/cowsliprack/transport/route_server.py
+++ b/cowsliprack/transport/route_server.py
@@ -171,17 +171,12 @@
         if self.stopped():
             # Its connection may be closed as idle, so it goes to no target.
             raise shutting_down()
-        table = self.table()
         host = _host(exchange)
-        if not table.generation:
-            raise ServingError(
-                ErrorKind.configuration_stale,
-                'no configuration has been loaded yet',
-                retry_after=1,
-            )
-        body = await exchange.read_body(table.max_body_bytes)
-        route = self._find_route(table, host, exchange.raw_path, arrived_at)
-        organisation = self._authenticate(table, route, metadata)
+        self._check_configured()
+        body = await exchange.read_body(self.table().max_body_bytes)
+        route, organisation = self.identify(
+            host, exchange.raw_path, metadata, arrived_at
+        )
         if not metadata.request_id:
             raise ServingError(
                 ErrorKind.bad_request, 'the request id header is missing'
@@ -203,7 +198,7 @@
             arrived_at=arrived_at,
             deadline=arrived_at + seconds_allowed,
             first_event_deadline=arrived_at
-            + _first_event_seconds(route, seconds_allowed),
+            + first_event_seconds(route, seconds_allowed),
             body=body,
             digest=_request_digest(exchange, host, organisation, body),
             part_digests=tuple(
@@ -216,6 +211,31 @@
             may_pass_on=passed is None,
         )
 
+    def identify(
+        self, host: str, path: str, metadata: RequestMetadata, now: float
+    ) -> tuple[Route, OrganisationLimits | None]:
+        """Return the route of a request and the organisation of its key.
+
+        :param host: value of the ``Host`` header.
+        :param path: raw path without the query.
+        :param metadata: with the key.
+        :param now: seconds.
+        :returns: without an organisation if the route needs no key.
+        :raises ServingError: there are none, or the configuration is stale.
+        """
+        self._check_configured()
+        table = self.table()
+        route = self._find_route(table, host, path, now)
+        return route, self._authenticate(table, route, metadata)
+
+    def _check_configured(self) -> None:
+        if not self.table().generation:
+            raise ServingError(
+                ErrorKind.configuration_stale,
+                'no configuration has been loaded yet',
+                retry_after=1,
+            )
+
     def _find_route(
         self,
         table: RoutingTable,
@@ -461,8 +481,12 @@
     return ''
 
 
-def _first_event_seconds(route: Route, seconds_allowed: float) -> float:
-    """Return the time in which the first event must come, in seconds."""
+def first_event_seconds(route: Route, seconds_allowed: float) -> float:
+    """Return the time in which the first event must come, in seconds.
+
+    :param route: of the request.
+    :param seconds_allowed: time of the whole request.
+    """
     if not route.streams:
         return seconds_allowed
     patience = max(
