--- a/cowsliprack/metrics.py
+++ b/cowsliprack/metrics.py
@@ -119,6 +119,26 @@
         )
 
 
+class QueueMetrics:
+    """Requests that wait for a place at a target."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Register the collectors.
+
+        :param registry: of the instance.
+        """
+        self.waiting = Gauge(
+            'cowsliprack_queued_requests',
+            'Requests waiting in the queue.',
+            registry=registry,
+        )
+        self.decisions = Counter(
+            'cowsliprack_queue_decisions_total',
+            'Requests that waited for a place at a target, by decision.',
+            registry=registry,
+        )
+
+
 class Metrics:
     """Collectors of one instance, in a separate registry."""
 
@@ -145,14 +165,7 @@
             'cowsliprack_store_returns_total',
             'Times that the store was seen to come back from an older copy.',
         )
-        self.queued = self._gauge(
-            'cowsliprack_queued_requests',
-            'Requests waiting in the queue.',
-        )
-        self.queue_decisions = self._counter(
-            'cowsliprack_queue_decisions_total',
-            'Requests that waited for a place, by decision: turn or reject.',
-        )
+        self.queue = QueueMetrics(self.registry)
         self.running = self._gauge(
             'cowsliprack_running_requests',
             'Requests in flight to targets.',
--- a/cowsliprack/transport/dispatch_loop.py
+++ b/cowsliprack/transport/dispatch_loop.py
@@ -257,5 +257,5 @@
     def _update_metrics(self) -> None:
         if self.dispatcher.is_drained():
             self.drained.set()
-        self.metrics.queued.set({}, self.dispatcher.queued_count())
+        self.metrics.queue.waiting.set({}, self.dispatcher.queued_count())
         self.metrics.running.set({}, self.dispatcher.running_count())
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -170,7 +170,7 @@
             poison=poison.tracker,
             is_cut_off=self.region.reach_watch.reachability.is_cut_off,
             instances=lambda: credit.instances,
-            counts=lambda decision: self.metrics.queue_decisions.inc(
+            counts=lambda decision: self.metrics.queue.decisions.inc(
                 {'decision': decision}
             ),
         )
@@ -383,7 +383,7 @@
         self.metrics.generation.set({}, self.table.generation)
         self.metrics.leader.set({}, int(self.region.is_leading()))
         self.metrics.running.set({}, self.server.open_requests)
-        self.metrics.queued.set({}, len(self.server.relay.finder.turns))
+        self.metrics.queue.waiting.set({}, len(self.server.relay.finder.turns))
         selector = self.region.context.target_selector
         now = read_clock()
         self.metrics.targets.update(
