Expect a place sooner than an even part of all instances would give

The rate was an even part of 31 instances of what a target ran, also if it ran little because it recovered. The root of the number of instances is assumed now, and half of the slots. The log line's priority had the name of the log level.

--- a/cowsliprack/coordination/place_queue.py
+++ b/cowsliprack/coordination/place_queue.py
@@ -40,6 +40,8 @@
 _MAX_WAITING = 1000
 # Weight of a new sample in the average run time of a service's requests.
 _SMOOTHING = 0.1
+# Share of its slots that a target without a free place runs at least, as taken.
+_MIN_BUSY_SHARE = 0.5
 # Shortest run time that is assumed, seconds.
 _MIN_RUN_SECONDS = 0.001
 # Longest time that a caller is asked to stay away: places become free earlier
@@ -148,21 +150,29 @@
         """Return the rate at which places become free for this instance.
 
         An instance gets the places of the requests that it has sent, or its
-        even part of all, whichever is more.
+        part of all, whichever is more. It is not known at how many instances
+        requests wait for a target; the root of their number is assumed. With
+        all of them, requests were rejected for expected waits of 16 s and more
+        while a place became free within a second.
 
         :param records: targets of one service.
         :param now: seconds.
         :returns: ``inf`` before the first request of the service has ended.
         """
-        instances = max(self.instances(), 1)
+        competing = math.sqrt(max(self.instances(), 1))
         rate = float(0)
         for record in records:
             seconds = self.run_seconds_by_service.get(record.service, 0)
             if not seconds:
                 return math.inf
             own = self.target_selector.own_by_id[record.target_id]
-            running = self.running(record.target_id, now)
-            rate += max(own, running / instances, 1 / instances) / seconds
+            # One that recovers runs few requests, but gets more within a
+            # second.
+            running = max(
+                self.running(record.target_id, now),
+                record.slots * _MIN_BUSY_SHARE,
+            )
+            rate += max(own, running / competing) / seconds
         return rate
 
     def expect(
--- a/cowsliprack/transport/place_turns.py
+++ b/cowsliprack/transport/place_turns.py
@@ -346,7 +346,7 @@
             reason,
             request_id=wait.request.metadata.request_id,
             organisation=entry.organisation,
-            level=entry.level,
+            priority=entry.level,
             has_come_back=entry.has_come_back,
             waiting=len(self),
             waited_ms=round((self.clock() - entry.enqueued_at) * _MS),
