Keep explanations apart from the queue of the instance

An explanation uses a copy of the finder. With the queue in front of the targets its decisions would count in the instance's metric, and the expected turns lacked the run times. route_explanation.feature: 20 passed.

--- a/cowsliprack/transport/route_explanation.py
+++ b/cowsliprack/transport/route_explanation.py
@@ -254,15 +254,22 @@
 
 
 def _detached(finder: TargetFinder) -> TargetFinder:
-    """Return a finder whose decisions change no state of others."""
-    return replace(
+    """Return a finder whose decisions change no state of others.
+
+    Its queue is empty: what waits at the instance is not considered.
+    """
+    detached = replace(
         finder,
         target_selector=_detached_selector(finder.target_selector),
         waiting_requests=WaitingRequests(closed=finder.waiting_requests.closed),
         demand_changed=_ignore,
         rng=random.Random(),
         stated_times=copy.deepcopy(finder.stated_times),
+        counts=_ignore_decision,
     )
+    run_seconds = finder.turns.places.run_seconds_by_service
+    detached.turns.places.run_seconds_by_service.update(run_seconds)
+    return detached
 
 
 def _detached_selector(selector: TargetSelector) -> TargetSelector:
@@ -276,6 +283,10 @@
     )
 
 
+def _ignore_decision(_decision: str) -> None:
+    """Count no decision of an explanation."""
+
+
 def _ignore() -> None:
     """Do nothing, as nobody has to plan for a request that is not sent."""
 
