Let waiting models have the room of replicas that busy models want

A replica that a busy model should have no longer counted as surplus when a model without any replica waited for its room, so that this waited for as long as the other one was busy. It counts as surplus then if the other replicas can run its requests, as before; the new scenario fails without this.

--- a/cowsliprack/coordination/engine_index.py
+++ b/cowsliprack/coordination/engine_index.py
@@ -50,6 +50,22 @@
             if model not in engine.draining_models
         ]
 
+    def others_have_room(
+        self, engine: EngineState, model: str, limit: float
+    ) -> bool:
+        """Return whether other replicas can run an engine's requests as well.
+
+        :param engine: an engine with the model.
+        :param model: its name.
+        :param limit: requests that each of the others may run.
+        """
+        room = [
+            limit - self.load_by_id[other.target_id]
+            for other in self.offering(model)
+            if other is not engine and not other.is_limited
+        ]
+        return bool(room) and engine.running[model] <= sum(room)
+
     def has_copy(self, model: str) -> bool:
         """Return whether a usable engine holds or caches a model.
 
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -708,7 +708,10 @@
             return math.inf
         if candidate.further and self.busy_models.keeps(name, others + 1):
             return math.inf
-        if self._is_surplus(engine, name):
+        limit = self._scale_up_threshold() * _SCALE_DOWN_SHARE
+        if self._index.others_have_room(engine, name, limit):
+            # Also a replica that a busy model should have: models without any
+            # would wait for as long as it is busy.
             return run_cost + _SURPLUS_REPLICA_COST
         if running >= max(candidate.count - 1, 1):
             # Evicting it would wait for its requests. The first model that
@@ -783,17 +786,13 @@
                 engine.draining_models.add(name)
 
     def _is_surplus(self, engine: EngineState, name: str) -> bool:
-        """Return whether the other replicas can run its requests as well."""
-        offering = self._index.offering(name)
-        if engine.offers(name) and self.busy_models.keeps(name, len(offering)):
+        """Return whether a model needs neither the replica nor its room."""
+        count = len(self._index.offering(name))
+        if engine.offers(name) and self.busy_models.keeps(name, count):
             return False
-        limit = self._scale_up_threshold() * _SCALE_DOWN_SHARE
-        room = [
-            limit - self._index.load_by_id[other.target_id]
-            for other in offering
-            if other is not engine and not other.is_limited
-        ]
-        return bool(room) and engine.running[name] <= sum(room)
+        return self._index.others_have_room(
+            engine, name, self._scale_up_threshold() * _SCALE_DOWN_SHARE
+        )
 
     def _preload_missing(self, now: float) -> list[EngineOrder]:
         """Load models without a copy on any engine while there is no demand.
--- a/tests/coordination/busy_models.feature
+++ b/tests/coordination/busy_models.feature
@@ -101,3 +101,10 @@
       | for requests that stay late      | late requests | 0       | yes   |
       | after models without any replica | late requests | 20      | no    |
       | only if requests are late        | no outcomes   | 0       | no    |
+
+  Scenario: A model without a replica gets the room of one that a busy model wants
+    Given members that report no outcomes
+    And busy0 has a replica on each of 9 engines
+    When busy0 runs 40 requests for 8 seconds
+    And requests wait for a model on the disk of an engine with busy0
+    Then that engine has loaded the model within 7 seconds
--- a/tests/steps/busy_models_steps.py
+++ b/tests/steps/busy_models_steps.py
@@ -322,3 +322,24 @@
     cold = [order for order, is_cold in context.fleet.orders if is_cold]
     has_asked = any(order.model == 'busy0' for order in cold)
     assert has_asked == (asked == 'yes'), cold
+
+
+@when('requests wait for a model on the disk of an engine with busy0')
+def when_waiting_for_disk(context):
+    fleet = context.fleet
+    engine = fleet.offering('busy0')[-1]
+    context.engine = engine
+    on_disk = engine.record.on_disk | {'missing0'}
+    engine.record = replace(engine.record, on_disk=on_disk)
+    # Its other models are in use, and cannot make room.
+    for model in engine.adapters_by_model:
+        if model != 'busy0':
+            fleet.others[model] = 2
+    fleet.missing = 1
+
+
+@then('that engine has loaded the model within {seconds:d} seconds')
+def then_waiting_loaded(context, seconds):
+    context.fleet.run({'busy0': 40}, seconds)
+    held = context.engine.adapters_by_model
+    assert 'missing0' in held, held
