--- a/cowsliprack/coordination/load_spread.py
+++ b/cowsliprack/coordination/load_spread.py
@@ -3,9 +3,10 @@
 Load that this answers: a model is loaded for which requests wait at many
 instances. All instances learn of it in the same moment and send what waits. The
 engine prefills these prompts between the tokens of the streams that it runs, so
-that these pause. On a day with heavy load, 38 in 100 streams had a pause above
+that these pause. On a day with heavy load, 36 in 100 streams had a pause above
 the limit of their route if their engine got 9 requests or more within 250 ms,
-and 5 in 100 with 2 requests.
+and 5 in 100 with 2 requests. How many of these bursts follow a load was not
+measured.
 """
 
 # Time over which such requests are spread, seconds. A prompt takes about 20 ms
