Load from the weight store where no adapters wait

What callers saw: requests for adapters of a model in memory were rejected for up to 16 s.

Cause: an engine carries out one order at a time. The engine for a load from the weight store was chosen by the models that wait for it and by the copies on its disk. Adapters that only this engine can load were not counted, so that loads of milliseconds waited behind one of 8 to 16 s.

Change: the cost of an engine for such a load grows with the adapters that are expected to be requested meanwhile and that no other engine can load. They are estimated from the rate of adapter loads of the model and limited by the adapters that it has left. A replica that itself loads from the store does not count as another engine. The number of adapters is read from the configuration.

Evidence: of the six cases of "Adapters are not delayed by a load from the weight store", @1.1, @1.2 and @1.6 fail without the change of the scheduler; all pass with it, and all other scenarios of model_scheduler.feature (94).

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -140,9 +140,17 @@
 
     :param engines: engines of one service.
     """
-    return sum(
-        _is_cold_load(engine, engine.loading_model()) for engine in engines
-    )
+    return sum(map(is_loading_cold, engines))
+
+
+def is_loading_cold(engine: EngineState) -> bool:
+    """Return whether an engine loads a model from the weight store.
+
+    An order of an earlier leader counts, since it may be such a load.
+
+    :param engine: any engine.
+    """
+    return _is_cold_load(engine, engine.loading_model())
 
 
 def _is_cold_load(engine: EngineState, model: str) -> bool:
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -13,7 +13,10 @@
 from operator import itemgetter
 
 from cowsliprack.coordination.absent_models import AbsentModels
-from cowsliprack.coordination.adapter_placement import plan_adapter
+from cowsliprack.coordination.adapter_placement import (
+    AdapterDemand,
+    plan_adapter,
+)
 from cowsliprack.coordination.busy_models import (
     EVICTION_SECONDS,
     BusyModels,
@@ -183,6 +186,7 @@
     :param absent: models that lie on no engine, as of the last plan.
     :param busy_models: desired replicas of busy models.
     :param turns: order of the loads from the weight store.
+    :param adapter_demand: which adapters engines have to load soon.
     :param earlier_turns: by model, when the last leader expected the end of a
         load that had not begun, seconds.
     :param earlier_loads: by model, when a load from the weight store that the
@@ -196,6 +200,7 @@
     absent: AbsentModels = field(default_factory=AbsentModels)
     busy_models: BusyModels = field(default_factory=BusyModels)
     turns: StoreTurns = field(default_factory=StoreTurns)
+    adapter_demand: AdapterDemand = field(default_factory=AdapterDemand)
     earlier_turns: Mapping[str, float] = field(default_factory=dict)
     earlier_loads: Mapping[str, float] = field(default_factory=dict)
     _lost_loads: LostColdLoads = field(default_factory=LostColdLoads)
@@ -502,7 +507,10 @@
                 self.spec.adapter_slots,
                 now,
             )
-            return [order] if order else []
+            if order is None:
+                return []
+            self.adapter_demand.record(order, now)
+            return [order]
         if self._cancel_eviction(candidate) or self._index.is_pending(
             candidate.model, candidate.software_version
         ):
@@ -640,12 +648,20 @@
         model = self.spec.models_by_name[candidate.model]
         load_seconds = self.load_seconds(engine, model)
         if engine.is_cold(model.name):
-            # The load also delays all other models that need this engine, and
-            # may evict the only copy of one from its disk.
+            # The load also delays all other models and adapters that need this
+            # engine, and may evict the only copy of a model from its disk.
             load_seconds *= (
                 1
                 + self._waiting_share_by_id.get(engine.target_id, 0)
                 + self._index.only_copy_risk(engine)
+                + self.adapter_demand.delayed_adapters(
+                    engine,
+                    self._index,
+                    self.spec,
+                    load_seconds,
+                    now,
+                    is_known=self.rates.is_established(now),
+                )
             )
         if engine.is_limited:
             load_seconds += _LIMITED_DELAY_SECONDS
--- a/cowsliprack/platform/wire.py
+++ b/cowsliprack/platform/wire.py
@@ -56,6 +56,7 @@
     # Memory of the weights of this model, MB.
     weights_size: float
     load_s: float
+    adapters: int = 0
     adapter_mb: float = 0
     warm_s: float = 0
     disk_s: float = 0
@@ -354,6 +355,7 @@
                 cold_seconds=model.load_s,
                 disk_seconds=model.disk_s or model.load_s,
                 warm_seconds=model.warm_s or model.load_s,
+                adapters=model.adapters,
             )
             for model in engine.models
         },
--- a/cowsliprack/state/routing_table.py
+++ b/cowsliprack/state/routing_table.py
@@ -59,6 +59,7 @@
     :param cold_seconds: duration of a load from the weight store.
     :param disk_seconds: duration of a load from a copy on the engine's disk.
     :param warm_seconds: duration of a load from a copy in main memory.
+    :param adapters: number of adapters that requests can name.
     """
 
     name: str
@@ -67,6 +68,7 @@
     cold_seconds: float
     disk_seconds: float
     warm_seconds: float
+    adapters: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -520,6 +520,26 @@
       | they may slow it down        | 1     | 2     |
       | the earlier loads have ended | 13    | 1     |
 
+  # Adapters of a model on one engine were rejected while it loaded another one.
+  Scenario Outline: Adapters are not delayed by a load from the weight store: <case>
+    Given engine e1 holds a
+    And engine e2 holds b
+    And engine e4 holds c and has a, b, d on disk
+    And a has 4 adapters
+    And <condition>
+    And 5 requests at different instances wait for f
+    When the scheduler plans
+    Then the orders are "<engine> load f"
+
+    Examples:
+      | case                             | condition                                    | engine |
+      | their demand is not known        | 0 adapters of a have been loaded             | e2     |
+      | they are often loaded            | there is demand, also for 2 adapters of a    | e2     |
+      | they are not requested           | there is demand, also for 0 adapters of a    | e1     |
+      | all of them are loaded           | 4 adapters of a have been loaded             | e1     |
+      | another engine can load them     | engine e3 holds a                            | e1     |
+      | the other engine loads for long  | an engine e3 with a loads from the store too | e2     |
+
   Scenario: A load from the weight store does not delay one from a disk
     Given engine e1 holds a
     And a is requested often
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -79,6 +79,35 @@
         engine.used_at_by_name[f'a/x{number}'] = _NOW - 100 + number
 
 
+@given('a has {count:d} adapters')
+def given_adapter_count(context, count):
+    scheduler = context.scheduler
+    models = dict(scheduler.spec.models_by_name)
+    models['a'] = replace(models['a'], adapters=count)
+    scheduler.spec = replace(scheduler.spec, models_by_name=models)
+
+
+@given('{count:d} adapters of a have been loaded')
+def given_loaded_adapters(context, count):
+    scheduler = context.scheduler
+    for number in range(count):
+        group = GroupDemand('s', 'a', f'x{number}', 1, _NOW, _NOW + 8, _NOW)
+        (order,) = scheduler.plan([group], context.now)
+        finish_order(scheduler.engines_by_id['e1'], order, context.now)
+
+
+@given('there is demand, also for {count:d} adapters of a')
+def given_adapter_demand(context, count):
+    given_demand(context)
+    given_loaded_adapters(context, count)
+
+
+@given('an engine e3 with a loads from the store too')
+def given_loading_replica(context):
+    engine = _add_engine(context, 'e3', ['a'])
+    engine.order = EngineOrder('e3', OrderKind.load, 'e')
+
+
 @given('adapter x1 of a has just been loaded')
 def given_recent_adapter(context):
     engine = context.scheduler.engines_by_id['e1']
