Keep the limit of weight store loads after a loss of all instances

What callers saw: after a loss of power of all instances models were loaded from the weight store in up to twice the time, and requests for adapters and models on the loading engines waited or were rejected meanwhile.

Cause: how many loads the store serves at full speed is measured by the leader, and the members keep it for the next one in memory only.

Change: the lease object records the measured limit of each service with each renewal. A process that has had no view of a leader goes by it. The initial limit isn't recorded, so that a leader may lower one that has never been measured as soon as loads show that it is too high. What members know of the weight store has its place in FleetView, beside the absent models and the loads that are due. Earlier builds ignore the field and drop it.

Evidence: all_instances_lost.feature runs two instances, loses both and starts one again on the same store.

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -13,7 +13,7 @@
 
 # Concurrent cold loads: the weight store's limit until its speed is known, and
 # the maximum as a share of the engines, since each load blocks one of them.
-_INITIAL_COLD_LOADS = 4
+INITIAL_COLD_LOADS = 4
 _MAX_COLD_LOAD_SHARE = 0.1
 # A load that exceeds its configured time by this factor indicates too many
 # concurrent loads.
@@ -166,7 +166,7 @@
     """
     share = max(1, round(engines * _MAX_COLD_LOAD_SHARE))
     if is_idle or served_requests >= URGENT_REQUESTS:
-        return max(share, _INITIAL_COLD_LOADS)
+        return max(share, INITIAL_COLD_LOADS)
     return share
 
 
@@ -353,7 +353,7 @@
     """
 
     starts: list[float] = field(default_factory=list)
-    store_limit: int = _INITIAL_COLD_LOADS
+    store_limit: int = INITIAL_COLD_LOADS
     on_time: int = 0
     lowered_from: float = -math.inf
     raised_from: float = -math.inf
--- a/cowsliprack/coordination/fleet_view.py
+++ b/cowsliprack/coordination/fleet_view.py
@@ -9,8 +9,9 @@
 
 from cowsliprack.coordination.absent_models import KnownAbsences
 from cowsliprack.coordination.freshness import Freshness
+from cowsliprack.coordination.known_weight_store import KnownWeightStore
 from cowsliprack.coordination.load_queue import KnownLoadsDue
-from cowsliprack.protocol.gateway_messages import EngineView
+from cowsliprack.protocol.gateway_messages import EngineView, LeaderView
 from cowsliprack.state.target_registry import (
     TargetRecord,
     TargetRegistry,
@@ -37,6 +38,7 @@
     :param updated_at: time of the leader's last view, seconds.
     :param absences: models that lie on no engine.
     :param loads_due: when loads of such models that have not begun are due.
+    :param weight_store: what is known of the store that they come from.
     :param ready_ids: targets that were ready when the registry last changed.
     :param draining_since_by_id: when targets that had been ready before were
         first seen draining, seconds.
@@ -47,6 +49,7 @@
     updated_at: float = float('-inf')
     absences: KnownAbsences = field(default_factory=KnownAbsences)
     loads_due: KnownLoadsDue = field(default_factory=KnownLoadsDue)
+    weight_store: KnownWeightStore = field(default_factory=KnownWeightStore)
     ready_ids: set[str] = field(default_factory=set)
     draining_since_by_id: dict[str, float] = field(default_factory=dict)
     _rejected: set[tuple[str, str, str]] = field(default_factory=set)
@@ -78,6 +81,17 @@
             entry for entry in self._rejected if entry[0] not in changed
         }
 
+    def apply_loads(self, view: LeaderView, now: float) -> None:
+        """Apply what a view tells of the weight store and of loads from it.
+
+        :param view: of a leader.
+        :param now: seconds.
+        """
+        is_full = not view.base
+        self.absences.apply(view.absences, now, is_full=is_full)
+        self.loads_due.apply(view.loads_due, now, is_full=is_full)
+        self.weight_store.apply_view(view.store_limits)
+
     def candidates(
         self,
         service: str,
--- a/cowsliprack/coordination/lease.py
+++ b/cowsliprack/coordination/lease.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from cowsliprack.coordination.known_weight_store import WeightStoreRecord
 from cowsliprack.coordination.lease_record import (
     NEVER,
     RENEWALS_PER_DURATION,
@@ -68,6 +69,7 @@
     :param version_ages: returns what each write says of software versions, see
         ``LeaseBody``; empty if it is not known.
     :ivar members: returns the instances of the region for each write.
+    :ivar weight_store: returns what is known of the weight store likewise.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         self._first_start = first_start
         self._version_ages = version_ages
         self.members: Callable[[], LeaseMembers] = LeaseMembers
+        self.weight_store: Callable[[], WeightStoreRecord] = WeightStoreRecord
         # ``None`` while the lease is not held.
         self._deadline: float | None = None
         # Era of the store in which this instance last wrote the lease.
@@ -458,6 +461,7 @@
             fencing, remaining, era, self._version_ages()
         )
         body.update(self.members().fields())
+        body.update(self.weight_store().fields())
         if releases:
             released_by = self._candidate.instance_id
             body.update(
--- a/cowsliprack/coordination/lease_record.py
+++ b/cowsliprack/coordination/lease_record.py
@@ -6,6 +6,10 @@
 import msgspec
 import structlog
 
+from cowsliprack.coordination.known_weight_store import (
+    WeightStoreRecord,
+    parse_weight_store,
+)
 from cowsliprack.protocol.gateway_messages import PeerView
 from cowsliprack.protocol.store import StoredObject, new_attempt_id
 from cowsliprack.state.store_version import join_version
@@ -75,6 +79,7 @@
         is held, or was released by an earlier build, which drops the field.
     :param members: of the region; empty if the holder did not know them, or is
         of an earlier build.
+    :param weight_store: likewise what it has learned of the weight store.
     """
 
     holder: str = ''
@@ -88,6 +93,7 @@
     version_ages: VersionAges | None = None
     released_by: str = ''
     members: LeaseMembers = LeaseMembers()
+    weight_store: WeightStoreRecord = WeightStoreRecord()
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +140,7 @@
         version_ages=_parse_version_ages(body.get('version_ages')),
         released_by=str(body.get('released_by', '')),
         members=_parse_members(body),
+        weight_store=parse_weight_store(body),
     )
 
 
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -105,7 +105,6 @@
     _view_fencing: int = 0
     _view_sequence: int = 0
     _relayed: RelayedReading = field(init=False)
-    _store_limits: dict[str, int] = field(default_factory=dict)
     _address_by_peer: dict[str, str] = field(default_factory=dict)
     _reconnected_at: float = 0
     _notices: RegionNotices = field(init=False)
@@ -220,6 +219,7 @@
             version_ages=self.origins.version_ages,
         )
         self.lease.members = self.instances.to_record
+        self.lease.weight_store = context.fleet.weight_store.to_record
         self.lease.terms.others_rest = lambda: self._builds.all_rest(
             context.clock()
         )
@@ -283,6 +283,7 @@
             record = self.lease.observation.record
             if record is not None:
                 self.instances.inherit(record.members)
+                self.context.fleet.weight_store.inherit(record.weight_store)
             if record is not None and record.holder:
                 self._follow(record.holder, record.address, record.fencing)
             await anyio.sleep(_LEASE_CHECK_INTERVAL_SECONDS)
@@ -340,7 +341,6 @@
                     self._deliver,
                     self.origins.version_ages,
                     self.reach_watch,
-                    self._store_limits,
                     self.instances.peers(),
                     self._past_leaders,
                 )
@@ -440,7 +440,6 @@
         self.conditions.apply_view(view)
         self.instances.apply_view(view, is_new=is_new)
         self._apply_credit_shares(view, now)
-        self._store_limits = view.store_limits or self._store_limits
         self._apply_store_readings(view)
         self.context.fleet.apply_view(
             view.engines,
@@ -448,12 +447,7 @@
             now,
             is_full=not view.base,
         )
-        self.context.fleet.absences.apply(
-            view.absences, now, is_full=not view.base
-        )
-        self.context.fleet.loads_due.apply(
-            view.loads_due, now, is_full=not view.base
-        )
+        self.context.fleet.apply_loads(view, now)
         if not view.base:
             # Until a report acknowledges it, each view is a full one.
             self._report_due.set()
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator
 from enum import StrEnum, unique
 
 import anyio
@@ -100,7 +100,6 @@
     :param version_ages: returns the seconds since each software version of each
         service was seen.
     :param reach_watch: knows the services of which no target is reached.
-    :param first_store_limits: see ``RegionState``.
     :param peers: instances that the last leader knew.
     :param past_leaders: instances that led before.
     :ivar ending: whether ``end`` was called.
@@ -113,7 +112,6 @@
         deliver: Deliver,
         version_ages: Callable[[], dict[str, dict[str, float]]],
         reach_watch: ReachWatch,
-        first_store_limits: Mapping[str, int],
         peers: Iterable[PeerView],
         past_leaders: PastLeaders,
     ) -> None:
@@ -149,7 +147,7 @@
             lease.fencing,
             context.instance_id,
             context.address,
-            first_store_limits=first_store_limits,
+            first_store_limits=context.fleet.weight_store.limits,
             first_loads=context.fleet.absences.loads_under_way(),
             first_turns=dict(context.fleet.loads_due.due_at_by_name),
         )
--- a/tests/steps/region_state_steps.py
+++ b/tests/steps/region_state_steps.py
@@ -277,7 +277,6 @@
         lambda _instance, _address, message: context.sent.append(message),
         dict,
         None,
-        {},
         (),
         PastLeaders(),
     )
--- a/tests/support/region_world.py
+++ b/tests/support/region_world.py
@@ -29,7 +29,7 @@
 from tests.support.object_store import InMemoryStore
 from tests.support.routed import target_record
 
-_SERVICE = 'llm'
+SERVICE = 'llm'
 _STEP_SECONDS = 0.005
 _MODELS = ('m0', 'm1', 'm2', 'm3')
 
@@ -107,6 +107,7 @@
         self.transport = GatedTransport()
         self.regions_by_id = {}
         self.cut_off = set()
+        self._scopes_by_id = {}
         self._sockets_by_id = {}
         self.tasks = None
         self.suspended_seconds = 0
@@ -132,13 +133,22 @@
             has_lost_engines=lambda: instance_id in self.cut_off
         )
         self.regions_by_id[instance_id] = region
-        for task in (
-            region._keep_lease,
-            region._receive,
-            region._report,
-            region._lead,
-        ):
-            self.tasks.start_soon(task)
+        self.tasks.start_soon(self._run_tasks, instance_id, region)
+
+    def kill(self, instance_id):
+        """End an instance without a release of its lease."""
+        self._scopes_by_id.pop(instance_id).cancel()
+
+    async def _run_tasks(self, instance_id, region):
+        async with anyio.create_task_group() as tasks:
+            self._scopes_by_id[instance_id] = tasks.cancel_scope
+            for task in (
+                region._keep_lease,
+                region._receive,
+                region._report,
+                region._lead,
+            ):
+                tasks.start_soon(task)
 
     def now(self):
         """Return seconds on a clock that runs during suspension."""
@@ -177,7 +187,7 @@
         fleet.registry.apply(
             [
                 target_record(
-                    'e1', service=_SERVICE, address=self.engine.address, born=1
+                    'e1', service=SERVICE, address=self.engine.address, born=1
                 )
             ],
             [],
@@ -187,8 +197,8 @@
             name: ModelSpec(name, 10, 1, 1, 0.05, 0.05) for name in _MODELS
         }
         spec = EngineSpec(8, 10000, 160, 4, 20, models_by_name)
-        service = ServiceSpec(_SERVICE, 100, spec)
-        table = RoutingTable(1, services_by_name={_SERVICE: service})
+        service = ServiceSpec(SERVICE, 100, spec)
+        table = RoutingTable(1, services_by_name={SERVICE: service})
         return SimpleNamespace(
             instance_id=instance_id,
             boot=new_process_id(),
@@ -223,4 +233,4 @@
 
 
 def _engine(term):
-    return term.state.schedulers_by_service[_SERVICE].engines_by_id['e1']
+    return term.state.schedulers_by_service[SERVICE].engines_by_id['e1']
