Load no model twice after a loss of all instances

What callers saw: after a loss of power of all instances a model was loaded from the weight store on two engines at once. The second load took a slot of the store from models that lie nowhere, and kept its engine from its own requests for 15.7 s; its copy was unloaded unused.

Cause: a new leader knows from the views of the last one which loads go on. When all instances are lost, it sees only that some engines carry out orders of an earlier leader, but not of which models.

Change: the lease object also records the loads under way, by service and model with the seconds until their expected end. A process that has had no view goes by it. As it cannot know how long ago the lease was written, it forgets such loads as soon as all engines are surveyed and none carries out an order of an earlier leader.

Evidence: absent_models.feature, "A load of f that only the lease names": @1.1 and @1.2 fail if a leader does not take over the recorded loads, @1.4 if it waits for loads that have ended. all_instances_lost.feature loses both instances during a load; it fails if the term does not get the loads.

--- a/cowsliprack/coordination/fleet_view.py
+++ b/cowsliprack/coordination/fleet_view.py
@@ -9,7 +9,10 @@
 
 from cowsliprack.coordination.absent_models import KnownAbsences
 from cowsliprack.coordination.freshness import Freshness
-from cowsliprack.coordination.known_weight_store import KnownWeightStore
+from cowsliprack.coordination.known_weight_store import (
+    KnownWeightStore,
+    WeightStoreRecord,
+)
 from cowsliprack.coordination.load_queue import KnownLoadsDue
 from cowsliprack.protocol.gateway_messages import EngineView, LeaderView
 from cowsliprack.state.target_registry import (
@@ -92,6 +95,14 @@
         self.loads_due.apply(view.loads_due, now, is_full=is_full)
         self.weight_store.apply_view(view.store_limits)
 
+    def weight_store_record(self, now: float) -> WeightStoreRecord:
+        """Return what the lease object states of the weight store.
+
+        :param now: seconds.
+        """
+        loads = self.absences.loads_under_way()
+        return self.weight_store.to_record(loads, now)
+
     def candidates(
         self,
         service: str,
--- a/cowsliprack/coordination/load_queue.py
+++ b/cowsliprack/coordination/load_queue.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from cowsliprack.protocol.gateway_messages import LoadDue
+from cowsliprack.state.engine_state import EngineState
 
 # Seconds by which an expectation must change to be told again, and the same as
 # a share of the time left; the larger one applies. Each change goes to all
@@ -19,6 +20,8 @@
 # Time from the turn of a load to its begin, as a share of its stated time: room
 # is made on an engine first. 0.2 to 0.5 s were logged for loads of 7.8 s.
 _BEGIN_SHARE = 0.03
+# Seconds by which a load may end later than the leader that began it expected.
+_EARLIER_LOAD_MARGIN_SECONDS = 1.0
 
 
 def expected_ends(
@@ -52,6 +55,32 @@
     return expected
 
 
+def ongoing_loads(
+    earlier_loads: Mapping[str, float],
+    unconfirmed: Collection[str],
+    engines: Collection[EngineState],
+    now: float,
+) -> dict[str, float]:
+    """Return the loads of an earlier leader that may still go on.
+
+    :param earlier_loads: by model, when its load is expected to end, seconds.
+    :param unconfirmed: models whose load may have ended long ago, which is
+        certain if no engine carries out an order of an earlier leader.
+    :param engines: all engines of the service.
+    :param now: seconds.
+    """
+    may_go_on = not engines or any(
+        engine.awaits_survey() or engine.has_unknown_order()
+        for engine in engines
+    )
+    return {
+        model: ends_at
+        for model, ends_at in earlier_loads.items()
+        if now < ends_at + _EARLIER_LOAD_MARGIN_SECONDS
+        and (may_go_on or model not in unconfirmed)
+    }
+
+
 def seconds_until_usable(
     seconds_until_loaded: float,
     seconds_until_due: float,
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -38,7 +38,7 @@
 )
 from cowsliprack.coordination.engine_index import EngineIndex, index_engines
 from cowsliprack.coordination.eviction import cheapest_victims
-from cowsliprack.coordination.load_queue import expected_ends
+from cowsliprack.coordination.load_queue import expected_ends, ongoing_loads
 from cowsliprack.coordination.spare_copies import SpareCopies
 from cowsliprack.coordination.weight_store import (
     LoadClaim,
@@ -84,8 +84,6 @@
 # Seconds for which a model is not loaded from the weight store while an engine
 # with a copy does not answer; a crashed engine is back in two to four.
 _RETURN_SECONDS = 5.0
-# Seconds by which a load may end later than the leader that began it expected.
-_EARLIER_LOAD_MARGIN_SECONDS = 1.0
 # Seconds for which a caller that was rejected, and comes back, waits again. An
 # estimate: leaders do not know the deadlines of single requests.
 _SECOND_WAIT_SECONDS = 6.0
@@ -191,6 +189,9 @@
         load that had not begun, seconds.
     :param earlier_loads: by model, when a load from the weight store that the
         last leader has begun is expected to end, seconds.
+    :param unconfirmed_loads: models of ``earlier_loads`` that only the lease
+        object names. They may have ended long ago, so they are forgotten if no
+        engine carries out an order of an earlier leader.
     """
 
     spec: EngineSpec
@@ -203,6 +204,7 @@
     adapter_demand: AdapterDemand = field(default_factory=AdapterDemand)
     earlier_turns: Mapping[str, float] = field(default_factory=dict)
     earlier_loads: Mapping[str, float] = field(default_factory=dict)
+    unconfirmed_loads: frozenset[str] = frozenset()
     _lost_loads: LostColdLoads = field(default_factory=LostColdLoads)
     _spares: SpareCopies = field(default_factory=SpareCopies)
     _surveys_open_since: float = math.inf
@@ -399,11 +401,12 @@
             self._engine_ids = engine_ids
             self._engines_stable_since = now
         self.rates.update_idle(now)
-        self.earlier_loads = {
-            name: ends_at
-            for name, ends_at in self.earlier_loads.items()
-            if now < ends_at + _EARLIER_LOAD_MARGIN_SECONDS
-        }
+        self.earlier_loads = ongoing_loads(
+            self.earlier_loads,
+            self.unconfirmed_loads,
+            self.engines_by_id.values(),
+            now,
+        )
         own_loads = self._lost_loads.expected_ends(self.cold_loads.store_limit)
         if self.earlier_turns:
             self.absent.inherit(self.earlier_turns)
--- a/cowsliprack/coordination/region_state.py
+++ b/cowsliprack/coordination/region_state.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from cowsliprack.coordination.absent_models import AbsenceLedger
+from cowsliprack.coordination.known_weight_store import LoadEnds
 from cowsliprack.coordination.load_queue import LoadsDueLedger
 from cowsliprack.coordination.model_scheduler import GroupDemand, ModelScheduler
 from cowsliprack.coordination.request_outcomes import new_troubles
@@ -113,6 +114,7 @@
         store serves at full speed, as far as earlier leaders knew.
     :param first_loads: by service and model, when a load that the last leader
         has begun is expected to end, seconds.
+    :param recorded_loads: such loads that only the lease object names.
     :param first_turns: by service and model, when the last leader expected the
         end of a load that had not begun, seconds.
     :param sequence: incremented with each change of an engine view.
@@ -128,6 +130,7 @@
     members_by_id: dict[str, Member] = field(default_factory=dict)
     first_store_limits: Mapping[str, int] = field(default_factory=dict)
     first_loads: Mapping[tuple[str, str], float] = field(default_factory=dict)
+    recorded_loads: LoadEnds = field(default_factory=dict)
     first_turns: Mapping[tuple[str, str], float] = field(default_factory=dict)
     sequence: int = 1
     paces: RegionPaces = field(default_factory=RegionPaces)
@@ -156,9 +159,12 @@
                 limit = self.first_store_limits.get(service.name)
                 if limit is not None:
                     scheduler.cold_loads.inherit(limit)
-                scheduler.earlier_loads = _of_service(
-                    service.name, self.first_loads
-                )
+                recorded = _of_service(service.name, self.recorded_loads)
+                scheduler.unconfirmed_loads = frozenset(recorded)
+                scheduler.earlier_loads = {
+                    **recorded,
+                    **_of_service(service.name, self.first_loads),
+                }
                 scheduler.earlier_turns = _of_service(
                     service.name, self.first_turns
                 )
--- a/cowsliprack/transport/region.py
+++ b/cowsliprack/transport/region.py
@@ -219,7 +219,9 @@
             version_ages=self.origins.version_ages,
         )
         self.lease.members = self.instances.to_record
-        self.lease.weight_store = context.fleet.weight_store.to_record
+        self.lease.weight_store = lambda: context.fleet.weight_store_record(
+            context.clock()
+        )
         self.lease.terms.others_rest = lambda: self._builds.all_rest(
             context.clock()
         )
@@ -283,7 +285,9 @@
             record = self.lease.observation.record
             if record is not None:
                 self.instances.inherit(record.members)
-                self.context.fleet.weight_store.inherit(record.weight_store)
+                self.context.fleet.weight_store.inherit(
+                    record.weight_store, now
+                )
             if record is not None and record.holder:
                 self._follow(record.holder, record.address, record.fencing)
             await anyio.sleep(_LEASE_CHECK_INTERVAL_SECONDS)
--- a/cowsliprack/transport/region_term.py
+++ b/cowsliprack/transport/region_term.py
@@ -149,6 +149,7 @@
             context.address,
             first_store_limits=context.fleet.weight_store.limits,
             first_loads=context.fleet.absences.loads_under_way(),
+            recorded_loads=context.fleet.weight_store.recorded_loads,
             first_turns=dict(context.fleet.loads_due.due_at_by_name),
         )
         self._copies = ConfigurationCopies(
--- a/tests/coordination/absent_models.feature
+++ b/tests/coordination/absent_models.feature
@@ -84,6 +84,20 @@
     When the leader plans for 2 seconds
     Then the leader tells of f: loaded in 4 seconds
 
+  # Two engines loaded the same model after a loss of power of all instances.
+  Scenario Outline: A load of f that only the lease names: <case>
+    Given an engine e2 is registered, <e2>
+    And the lease names a load of f that ends in 6 seconds
+    When 5 requests wait for f for <seconds> seconds
+    Then the load of f has been ordered <count> times
+
+    Examples:
+      | case                           | e2                                 | seconds | count |
+      | an engine may carry it out     | with an order of an earlier leader | 6       | 0     |
+      | an engine is not surveyed yet  | not surveyed                       | 6       | 0     |
+      | it should have ended           | with an order of an earlier leader | 8       | 1     |
+      | no engine carries out an order | with nothing                       | 1       | 1     |
+
   Scenario: Loads are told while an order of an earlier leader goes on
     Given an engine e2 is registered, with nothing
     When the leader plans for 6 seconds
--- a/tests/steps/absent_models_steps.py
+++ b/tests/steps/absent_models_steps.py
@@ -9,6 +9,10 @@
     KnownAbsences,
     LoggedAbsences,
 )
+from cowsliprack.coordination.known_weight_store import (
+    KnownWeightStore,
+    parse_weight_store,
+)
 from cowsliprack.coordination.model_scheduler import GroupDemand, ModelScheduler
 from cowsliprack.coordination.region_state import RegionState, finish_order
 from cowsliprack.protocol.gateway_messages import MemberReport
@@ -130,7 +134,10 @@
     context.scheduler.rates.add('a', 20, context.now)
     for engine in engines:
         _add_engine(context, engine.target_id, engine.adapters_by_model)
-    demand = _demand(context)
+    _plan_for(context, _demand(context), seconds)
+
+
+def _plan_for(context, demand, seconds):
     orders = []
     for _ in range(seconds * 10):
         context.now += 0.1
@@ -138,6 +145,30 @@
     context.loads = [order for order in orders if order.model == 'f']
 
 
+@given('the lease names a load of f that ends in {seconds:d} seconds')
+def given_recorded_load(context, seconds):
+    known = KnownWeightStore()
+    body = {'store_loads': {'s': {'f': seconds}}}
+    known.inherit(parse_weight_store(body), context.now)
+    state = RegionState(
+        8, 'i1', '127.0.0.1:2', recorded_loads=known.recorded_loads
+    )
+    engines_by_id = context.scheduler.engines_by_id
+    service = ServiceSpec('s', 1, engine=context.scheduler.spec)
+    state.apply_routing_table(
+        RoutingTable(generation=1, services_by_name={'s': service})
+    )
+    context.scheduler = state.schedulers_by_service['s']
+    context.scheduler.engines_by_id = engines_by_id
+
+
+@when('{count:d} requests wait for f for {seconds:d} seconds')
+def when_waiting(context, count, seconds):
+    demand = replace(_demand(context), count=count)
+    _plan_for(context, demand, seconds)
+
+
+@then('the load of f has been ordered {count:d} times')
 @then('the load of f has been ordered {count:d} times by the member')
 def then_load_count(context, count):
     assert len(context.loads) == count, context.loads
--- a/tests/steps/all_instances_lost_steps.py
+++ b/tests/steps/all_instances_lost_steps.py
@@ -13,11 +13,18 @@
 
 _LEASE_SECONDS = 1.5
 _LEASE_KEY = 'leases/r'
+_LOADS = 'store_loads'
+# Longer than the scenario.
+_ANSWER_SECONDS = 30
 
 
-def _cold_loads(world):
+def _scheduler(world):
     term = world.regions_by_id['g1'].term
-    return term.state.schedulers_by_service[SERVICE].cold_loads
+    return term.state.schedulers_by_service[SERVICE]
+
+
+def _cold_loads(world):
+    return _scheduler(world).cold_loads
 
 
 def _recorded(world):
@@ -91,6 +98,54 @@
     assert is_inherited == (origin == 'inherited'), context.raised_from
 
 
+@when('all instances are lost while the leader has {model:w} loaded')
+def when_lost_during_load(context, model):
+    async def script(world):
+        world.engine.answer_seconds = _ANSWER_SECONDS
+        await world.until(lambda: SERVICE in _recorded(world).get(_LOADS, {}))
+        context.recorded = [_recorded(world)[_LOADS]]
+        for instance_id in list(world.regions_by_id):
+            world.kill(instance_id)
+        await world.start('g1')
+        await world.until(lambda: world.regions_by_id['g1'].term)
+        term = world.regions_by_id['g1'].term
+        context.earlier_loads = _scheduler(world).earlier_loads
+        await _renew(world)
+        context.recorded.append(_recorded(world)[_LOADS])
+        assert world.regions_by_id['g1'].term is term
+
+    async def run():
+        await RegionWorld(_LEASE_SECONDS, [model]).run(script)
+
+    anyio.run(run)
+
+
+@then('the next leader knows that {model:w} is being loaded')
+def then_load_known(context, model):
+    assert list(context.earlier_loads) == [model]
+
+
+@then('the lease names that load before and after')
+def then_recorded(context):
+    first, second = [one[SERVICE] for one in context.recorded]
+    assert list(first) == list(second), context.recorded
+    assert min(second.values()) < min(first.values()), context.recorded
+
+
+@given('a lease with {count:d} loads under way')
+def given_many_loads(context, count):
+    loads = {(SERVICE, f'model-{number:030}'): 9.5 for number in range(count)}
+    context.record = KnownWeightStore({SERVICE: 2}).to_record(loads, 1)
+
+
+@then('it names the limit and {count:d} loads')
+def then_named(context, count):
+    fields = context.record.fields()
+    loads = fields.get(_LOADS, {SERVICE: {}})
+    assert len(loads[SERVICE]) == count, fields
+    assert fields['store_limits'] == {SERVICE: 2}
+
+
 @given('an instance that has had a view with a limit of {limit:d}')
 def given_viewed(context, limit):
     context.known = KnownWeightStore()
@@ -99,7 +154,7 @@
 
 @when('it reads a lease with a limit of {limit:d}')
 def when_read(context, limit):
-    context.known.inherit(WeightStoreRecord({SERVICE: limit}))
+    context.known.inherit(WeightStoreRecord({SERVICE: limit}), 1)
 
 
 @then('it knows a limit of {limit:d}')
--- a/tests/support/region_world.py
+++ b/tests/support/region_world.py
@@ -31,6 +31,7 @@
 
 SERVICE = 'llm'
 _STEP_SECONDS = 0.005
+_COLD_SECONDS = 20
 _MODELS = ('m0', 'm1', 'm2', 'm3')
 
 
@@ -98,10 +99,12 @@
     """Instances g1 and g2, of which only g1 competes at first.
 
     :param lease_seconds: duration of the lease.
+    :param missing: names of models that the engine does not hold.
     """
 
-    def __init__(self, lease_seconds):
+    def __init__(self, lease_seconds, missing=()):
         self.lease_seconds = lease_seconds
+        self._missing = missing
         self.engine = HeldEngine(_MODELS)
         self.store = _Store()
         self.transport = GatedTransport()
@@ -196,6 +199,10 @@
         models_by_name = {
             name: ModelSpec(name, 10, 1, 1, 0.05, 0.05) for name in _MODELS
         }
+        for name in self._missing:
+            models_by_name[name] = ModelSpec(
+                name, 10, 1, _COLD_SECONDS, 0.05, 0.05
+            )
         spec = EngineSpec(8, 10000, 160, 4, 20, models_by_name)
         service = ServiceSpec(SERVICE, 100, spec)
         table = RoutingTable(1, services_by_name={SERVICE: service})
