Close connections as soon as their callers have closed them

What callers saw: after a crowd of callers had closed its connections, their descriptors stayed taken for up to 90 s, so that connections of ordinary callers were closed in their place. A planned stop of a gateway waited for them as well.

Cause: at the end of input the HTTP library still waits for the idle time of the connection.

Change: the idle time of a connection ends with its input, and does not begin again when its last request has been handled. At a stop the listener lets the event loop go on for some steps before it looks for open connections: those accepted last are registered only then, which the long wait had covered. An existing scenario replaces the server class by one that fails; it names the new class.

--- a/cowsliprack/transport/http_listener.py
+++ b/cowsliprack/transport/http_listener.py
@@ -213,6 +213,23 @@
             connection.add_buffered(self._early_bytes)
 
 
+class _CallerServer(TCPServer):
+    """Serves a connection until its caller closes it.
+
+    The library goes on waiting for the idle time of the connection, which would
+    keep its descriptor for so long.
+    """
+
+    async def _read_data(self) -> None:
+        await super()._read_data()
+        await self.idle_task.stop()
+
+    async def _idle_timeout(self) -> None:
+        # The time also begins when the last request has been handled.
+        if not self.reader.at_eof():
+            await super()._idle_timeout()
+
+
 @dataclass(slots=True)
 class ListenerLimits:
     """What a listener holds for its callers.
@@ -238,7 +255,7 @@
     """Open connections.
 
     :param accepted: number of accepted ones that are not registered yet.
-    :param changed: set when a request or a connection has ended.
+    :param changed: set when a connection begins, or it or a request has ended.
     """
 
     limits: ListenerLimits
@@ -253,6 +270,7 @@
         self.limits.opened = len(self.opened)
         self.limits.memory.add(connection.holding, read_clock())
         connection.holding.drop = connection.transport.abort
+        self._notify()
         try:
             yield
         finally:
@@ -298,11 +316,12 @@
         No more bytes are read from the idle ones first, so that what has been
         read becomes a request that is answered before its connection closes.
         """
-        while self.opened:
+        while True:
             changed = self.changed
             await self._close_idle()
-            if self.opened:
-                await changed.wait()
+            if not self.opened:
+                break
+            await changed.wait()
 
     async def _close_idle(self) -> None:
         idle = [
@@ -310,6 +329,7 @@
         ]
         for paused in idle:
             paused.transport.pause_reading()
+        # Connections that were accepted last are registered meanwhile.
         for _ in range(_SETTLING_STEPS):
             await checkpoint()
         for connection in idle:
@@ -450,7 +470,7 @@
         with connections.registered(connection):
             if isinstance(reader, _CountingReader):
                 reader.count_for(connection)
-            await TCPServer(
+            await _CallerServer(
                 wrapped, loop, config, context, state, reader, writer
             )
 
--- a/tests/platform/caller_crowds.feature
+++ b/tests/platform/caller_crowds.feature
@@ -12,6 +12,7 @@
     When the crowd has left
     Then the gateway has had at most <memory> MB and <descriptors> descriptors
     And an ordinary request is answered
+    And the descriptors that the crowd took are free again
 
     Examples:
       | crowd                                                      | memory | descriptors |
--- a/tests/steps/caller_crowds_steps.py
+++ b/tests/steps/caller_crowds_steps.py
@@ -23,6 +23,10 @@
 _HALF_HEAD = b'POST /order/1 HTTP/1.1\r\nHost: desk.example\r\n'
 # Long enough for the gateway to notice that connections were closed.
 _LEAVING_SECONDS = 1.0
+# Connections to targets and the store that may be kept open for later use.
+_KEPT_DESCRIPTORS = 16
+# The time in which a body without progress is dropped in any case.
+_FREE_SECONDS = 30
 
 
 def _short(count):
@@ -93,6 +97,8 @@
     context.crowd = Crowd(context.port)
     context.add_cleanup(context.crowd.leave)
     context.descriptors = 0
+    wait_settled(context.process)
+    context.descriptors_before = open_descriptors(context.process)
 
 
 @when('a crowd comes with {count:d} {kind}, in pieces')
@@ -136,3 +142,15 @@
 @then('an ordinary request is answered')
 def then_answered(context):
     assert is_served(context.port), context.cluster.log('g1')[-2000:]
+
+
+@then('the descriptors that the crowd took are free again')
+def then_free(context):
+    most = context.descriptors_before + _KEPT_DESCRIPTORS
+    end = time.monotonic() + _FREE_SECONDS
+    while open_descriptors(context.process) > most:
+        assert time.monotonic() < end, (
+            f'{open_descriptors(context.process)} descriptors, '
+            f'{context.descriptors_before} before the crowd'
+        )
+        time.sleep(0.2)
--- a/tests/steps/http_listener_steps.py
+++ b/tests/steps/http_listener_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import re
+import socket
 import time
 from unittest import mock
 
@@ -16,7 +17,10 @@
 from cowsliprack.metrics import Metrics
 from cowsliprack.platform.headers import PLATFORM_DIALECT
 from cowsliprack.transport import http_listener
-from cowsliprack.transport.http_listener import serve_addresses
+from cowsliprack.transport.http_listener import (
+    ListenerLimits,
+    serve_addresses,
+)
 from cowsliprack.transport.route_server import RouteServer
 from tests.support.gateway_cluster import HOST, free_port
 from tests.support.routed import TABLE
@@ -128,6 +132,60 @@
     assert len(context.handled) == context.count, context.handled
 
 
+@given("{count:d} new connections to a gateway's listener, each with a request")
+def given_new_connections(context, count):
+    context.count = count
+
+
+@when('the listener is stopped {steps:d} steps after they have come')
+def when_stopped_after_connecting(context, steps):
+    async def send(stop, connections):
+        # The listener accepts none of them before the event loop goes on.
+        for number in range(1, context.count + 1):
+            caller = socket.create_connection(context.address)
+            caller.sendall(_REQUEST % number)
+            connections.append(caller)
+        await _let_pass(steps)
+        stop()
+        connections[:] = [
+            await asyncio.open_connection(sock=caller) for caller in connections
+        ]
+
+    anyio.run(_serve, context, send, 0)
+
+
+@when('their callers close them {when}')
+def when_callers_close(context, when):
+    sent = {
+        'while requests run': _REQUEST,
+        'after a part of a head': _REQUEST[:20],
+        'after a part of a body': _HEAD_WITH_BODY + _BODY[:2],
+    }
+
+    async def send(stop, connections):
+        for number, (_, writer) in enumerate(connections, 1):
+            writer.write(sent.get(when, b'').replace(b'%d', b'%d' % number))
+        await anyio.sleep(_HANDLING_SECONDS / 2)
+        for _, writer in connections:
+            if when.startswith('for sending'):
+                writer.write_eof()
+            else:
+                writer.close()
+        for _ in range(round(_TIMEOUT_SECONDS / _HANDLING_SECONDS)):
+            context.left = context.limits.opened
+            if not context.left:
+                break
+            await anyio.sleep(_HANDLING_SECONDS)
+        stop()
+
+    anyio.run(_serve, context, send)
+
+
+@then('the listener has closed them too')
+def then_closed(context):
+    assert context.left == 0, context.left
+
+
 @when('the listener is ended {how} while requests run')
 def when_ended(context, how):
     context.logged = []
@@ -174,7 +232,7 @@
 @given('a listener whose connections fail unexpectedly')
 def given_failing(context):
     failing = mock.patch.object(
-        http_listener, 'TCPServer', side_effect=RuntimeError('unexpected')
+        http_listener, '_CallerServer', side_effect=RuntimeError('unexpected')
     )
     context.add_cleanup(failing.stop)
     failing.start()
@@ -222,12 +280,18 @@
         await anyio.lowlevel.checkpoint()
 
 
-async def _serve(context, send):
-    """Serve kept connections, send requests, and read what comes back."""
+async def _serve(context, send, kept=None):
+    """Serve connections, send requests, and read what comes back.
+
+    :param kept: number of connections that are open before; all by default.
+    """
     context.handled = set()
     context.read = set()
     context.status_by_number = {}
-    address = f'127.0.0.1:{free_port()}'
+    port = free_port()
+    address = f'127.0.0.1:{port}'
+    context.address = ('127.0.0.1', port)
+    context.limits = ListenerLimits()
     stopped = anyio.Event()
     ended = anyio.Event()
     waiting_requests = WaitingRequests()
@@ -251,7 +315,9 @@
         await server(scope, receive, respond)
 
     async def listen():
-        await serve_addresses(application, [address], stopped, _TIMEOUT_SECONDS)
+        await serve_addresses(
+            application, [address], stopped, _TIMEOUT_SECONDS, context.limits
+        )
         ended.set()
 
     def stop(*, refuse=True):
@@ -262,7 +328,11 @@
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(listen)
-        connections = [await _connect(address) for _ in range(context.count)]
+        count = context.count if kept is None else kept
+        if not count:
+            # The listener is open once it has taken a connection.
+            (await _connect(address))[1].close()
+        connections = [await _connect(address) for _ in range(count)]
         for reader, writer in connections:
             writer.write(_REQUEST % 0)
             await reader.readuntil(b'ok')
@@ -317,6 +387,7 @@
         assert status == expected, (number, status)
 
 
+@then('the listener ends as soon as it is stopped')
 @then('the listener ends as soon as they have ended')
 def then_ended(context):
     seconds = context.ended_at - context.stopped_at
--- a/tests/transport/http_listener.feature
+++ b/tests/transport/http_listener.feature
@@ -76,3 +76,35 @@
     When a caller connects
     Then its connection is closed
     And the failure was logged once
+
+  # Connections of callers that had gone kept their descriptors for 90 s.
+  Scenario Outline: Callers close their connections <when>
+    Given 40 kept connections to a gateway's listener, each idle
+    When their callers close them <when>
+    Then the listener has closed them too
+    And the listener ends as soon as it is stopped
+
+    Examples:
+      | when                       |
+      | while they are idle        |
+      | while requests run         |
+      | after a part of a head     |
+      | after a part of a body     |
+      | for sending, while idle    |
+
+  Scenario Outline: New connections <steps> steps of the event loop before the stop
+    Given 40 new connections to a gateway's listener, each with a request
+    When the listener is stopped <steps> steps after they have come
+    Then every request that was passed on is answered
+    And every request that was read is answered
+
+    Examples:
+      | steps |
+      | 0     |
+      | 1     |
+      | 2     |
+      | 3     |
+      | 4     |
+      | 5     |
+      | 6     |
+      | 8     |
