Bound what an instance outside the platform holds for callers

What callers saw: crowds that stop short of the end of their bodies, or send requests ahead, filled the memory of an instance started by `cowsliprack serve`. On the platform the bounds of caller_memory.md hold; here there were none, and such crowds could end the process.

Cause: the listener and the API were started without an account of the bytes.

A request in its queue is dropped with 503 memory_full; one with a key that was sent goes on. RouteServer and HttpApi share the code that counts a request and ends a dropped one.

Evidence: serve_crowds.feature, eight crowds like those of a gateway, with a machine of 100 or 120 MB; crowds and bounds were fixed before. It runs alone like caller_crowds.feature, whose steps now take the routes of the process under test.

--- a/cowsliprack/settings.py
+++ b/cowsliprack/settings.py
@@ -1,5 +1,6 @@
 """Settings from flags and environment variables."""
 
+import resource
 from typing import Any
 
 from pydantic import Field, SecretStr, ValidationError, field_validator
@@ -8,6 +9,14 @@
 from cowsliprack.exceptions import ConfigurationError
 
 _PREFIX = 'COWSLIPRACK_'
+# Descriptors of a process without a limit.
+_MANY_DESCRIPTORS = 1_048_576
+
+
+def _descriptor_limit() -> int:
+    """Return how many descriptors the system lets this process open."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return _MANY_DESCRIPTORS if soft_limit < 0 else soft_limit
 
 
 class Settings(BaseSettings):
@@ -33,6 +42,9 @@
     default_deadline_seconds: float = Field(default=60, gt=0)
     drain_seconds: float = Field(default=30, ge=0)
     lease_seconds: float = Field(default=6, gt=0)
+    # Memory of the machine that the process may use.
+    memory_mb: float = Field(default=2000, gt=0)
+    max_descriptors: int = Field(default_factory=_descriptor_limit, ge=1)
 
     @field_validator('seed_peers', mode='before')
     @classmethod
--- a/cowsliprack/transport/caller_watch.py
+++ b/cowsliprack/transport/caller_watch.py
@@ -8,7 +8,6 @@
 
 from cowsliprack.coordination.caller_memory import CallerMemory, caller_limits
 from cowsliprack.metrics import CallerMetrics, Metrics
-from cowsliprack.state.gateway_settings import GatewaySettings
 from cowsliprack.transport.bounded_body import AnswerMemory
 from cowsliprack.transport.http_listener import (
     Application,
@@ -25,7 +24,7 @@
 
 @dataclass(slots=True)
 class CallerWatch:
-    """Looks at the account of a gateway's callers every second.
+    """Looks at the account of an instance's callers every second.
 
     :param memory: account of the bytes that are held for callers.
     :param limits: of the listeners.
@@ -104,13 +103,16 @@
             _trim()
 
 
-def watch_callers(settings: GatewaySettings, metrics: Metrics) -> CallerWatch:
-    """Return the account of a gateway's callers with its bounds.
+def watch_callers(
+    memory_mb: float, max_descriptors: int, metrics: Metrics
+) -> CallerWatch:
+    """Return the account of an instance's callers with its bounds.
 
-    :param settings: memory and descriptors of the machine.
+    :param memory_mb: memory of the machine, MB.
+    :param max_descriptors: file descriptors that the process may open.
     :param metrics: of the instance.
     """
-    limits = caller_limits(settings.memory_megabytes, settings.max_descriptors)
+    limits = caller_limits(memory_mb, max_descriptors)
     memory = CallerMemory(limits.held_bytes)
     listener_limits = ListenerLimits(memory, limits.connections)
     watch = CallerWatch(
--- a/cowsliprack/transport/exchange.py
+++ b/cowsliprack/transport/exchange.py
@@ -1,7 +1,8 @@
 """Request and response of one HTTP call over the ASGI protocol."""
 
 import math
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -73,6 +74,23 @@
     holding: Holding = field(default_factory=Holding, repr=False)
     body_bytes: int = 0
 
+    @contextmanager
+    def counted(self, memory: CallerMemory | None) -> Iterator[None]:
+        """Count what is held for the caller while the context is entered.
+
+        :param memory: account of the bytes; ``None`` for none.
+        """
+        if memory is None:
+            yield
+            return
+        self.memory = memory
+        memory.add(self.holding, read_clock())
+        try:
+            yield
+        finally:
+            memory.remove(self.holding)
+            self.holding.detach()
+
     async def read_body(self, limit: int) -> bytes:
         """Return the request body, reading at most about the limit.
 
@@ -254,6 +272,32 @@
         )
 
 
+def request_dropper(
+    exchange: Exchange, scope: anyio.CancelScope
+) -> Callable[[], None]:
+    """Return a function that ends a request whose bytes are dropped.
+
+    :param exchange: of the request.
+    :param scope: in which it is served.
+    """
+
+    def drop() -> None:  # noqa: WPS430
+        scope.cancel()
+        if exchange.started:
+            # Its caller does not read, so an orderly end would not come.
+            exchange.abort()
+
+    return drop
+
+
+def dropped_in_doubt() -> ServingError:
+    """Return the error of a dropped request that a target may have run."""
+    return ServingError(
+        ErrorKind.target_failed,
+        'its bytes were dropped while a target had it',
+    )
+
+
 def _body_dropper(
     body: bytearray, scope: anyio.CancelScope
 ) -> Callable[[], None]:
--- a/cowsliprack/transport/forward.py
+++ b/cowsliprack/transport/forward.py
@@ -24,7 +24,12 @@
 from cowsliprack.transport.answer_relay import AnswerRelay, NotRunError
 from cowsliprack.transport.bounded_body import AnswerMemory
 from cowsliprack.transport.dispatch_loop import DispatchLoop, Reply
-from cowsliprack.transport.exchange import Exchange
+from cowsliprack.transport.exchange import (
+    Exchange,
+    dropped_in_doubt,
+    memory_full,
+    request_dropper,
+)
 from cowsliprack.transport.keyed_runs import KeyedRequest, KeyedRuns
 from cowsliprack.transport.target_client import TargetClient, TargetRequest
 
@@ -184,7 +189,15 @@
         decisions: _DecisionReceiver,
     ) -> None:
         error: ServingError | None = None
+        holding = job.exchange.holding
         async with anyio.create_task_group() as tasks:
+            if holding.is_dropped:
+                tasks.cancel_scope.cancel()
+            holding.is_spared = lambda: bool(job.request.attempts)
+            if job.claim is None:
+                # A keyed request that was sent continues, as it does when its
+                # caller disconnects.
+                holding.drop = request_dropper(job.exchange, tasks.cancel_scope)
             tasks.start_soon(decisions.receive)
             tasks.start_soon(_cancel_on_disconnect, job, tasks.cancel_scope)
             try:
@@ -192,6 +205,9 @@
             except ServingError as failure:
                 error = failure
             tasks.cancel_scope.cancel()
+        if error is None and holding.is_dropped and not relay.complete:
+            was_sent = bool(job.request.attempts)
+            error = dropped_in_doubt() if was_sent else memory_full()
         if error is not None:
             await self._end_with_error(job, error)
         elif relay.complete:
--- a/cowsliprack/transport/gateway.py
+++ b/cowsliprack/transport/gateway.py
@@ -174,7 +174,9 @@
                 {'decision': decision}
             ),
         )
-        self.callers = watch_callers(settings, self.metrics)
+        self.callers = watch_callers(
+            settings.memory_megabytes, settings.max_descriptors, self.metrics
+        )
         relay = RouteRelay(
             client=self.client,
             dialect=self.bindings.dialect,
--- a/cowsliprack/transport/http_api.py
+++ b/cowsliprack/transport/http_api.py
@@ -28,6 +28,7 @@
     Service,
     key_digest,
 )
+from cowsliprack.transport.caller_watch import CallerWatch
 from cowsliprack.transport.exchange import (
     Exchange,
     Receive,
@@ -51,6 +52,7 @@
     :param is_ready: whether the load balancer should send requests here.
     :param closing: whether to close connections after their answers.
     :param clock: monotonic, seconds.
+    :param callers: account of what is held for callers; ``None`` for no bounds.
     """
 
     settings: Settings
@@ -60,6 +62,7 @@
     is_ready: Callable[[], bool]
     closing: Callable[[], bool]
     clock: Callable[[], float]
+    callers: CallerWatch | None = None
 
     async def __call__(
         self,
@@ -74,7 +77,9 @@
         :param send: ASGI callable.
         """
         exchange = exchange_from_scope(scope, receive, send, self.closing)
-        await self._handle(exchange)
+        memory = self.callers.memory if self.callers else None
+        with exchange.counted(memory):
+            await self._handle(exchange)
 
     async def _handle(self, exchange: Exchange) -> None:
         try:
@@ -218,6 +223,8 @@
         )
 
     async def _show_metrics(self, exchange: Exchange) -> None:
+        if self.callers is not None:
+            self.callers.update_metrics()
         accepted = caller.single_header(exchange.headers, 'accept') or '*/*'
         text, headers = self.metrics.render([accepted])
         content_type = headers.get('Content-Type', 'text/plain')
--- a/cowsliprack/transport/instance.py
+++ b/cowsliprack/transport/instance.py
@@ -19,6 +19,7 @@
 from cowsliprack.protocol.peer import AnyPeerMessage
 from cowsliprack.settings import Settings
 from cowsliprack.state.configuration import Configuration
+from cowsliprack.transport.caller_watch import CallerWatch, watch_callers
 from cowsliprack.transport.clock import read_clock
 from cowsliprack.transport.dispatch_loop import (
     DispatchLoop,
@@ -79,6 +80,7 @@
     mesh: Mesh = field(init=False)
     instance_list_poller: InstanceListPoller = field(init=False)
     leader: Leader = field(init=False)
+    callers: CallerWatch = field(init=False)
     api: HttpApi = field(init=False)
 
     def __post_init__(self) -> None:
@@ -123,6 +125,9 @@
             self._is_leading,
             self.hub.announce,
         )
+        self.callers = watch_callers(
+            settings.memory_mb, settings.max_descriptors, self.metrics
+        )
         self.api = HttpApi(
             settings,
             self.metrics,
@@ -132,11 +137,13 @@
                 KeyedRuns(self.store, settings.instance_id, time.time),
                 self.metrics,
                 read_clock,
+                self.callers.answers,
             ),
             self.configuration,
             self.is_ready,
             self.is_draining,
             read_clock,
+            self.callers,
         )
 
     def configuration(self) -> Configuration:
@@ -200,7 +207,11 @@
         shutdown: anyio.Event,
     ) -> None:
         await serve_sockets(
-            self.api, [listener], shutdown, _CLOSE_TIMEOUT_SECONDS
+            self.api,
+            [listener],
+            shutdown,
+            _CLOSE_TIMEOUT_SECONDS,
+            self.callers.limits,
         )
         self.http_closed.set()
 
--- a/cowsliprack/transport/route_server.py
+++ b/cowsliprack/transport/route_server.py
@@ -29,8 +29,10 @@
     Exchange,
     Receive,
     Send,
+    dropped_in_doubt,
     exchange_from_scope,
     memory_full,
+    request_dropper,
 )
 from cowsliprack.transport.route_relay import RouteRelay
 from cowsliprack.transport.routed_request import RoutedRequest
@@ -123,15 +125,8 @@
         arrived_at: float,
         passed: PassedRequest | None = None,
     ) -> RoutedRequest | None:
-        if self.memory is None:
+        with exchange.counted(self.memory):
             return await self._answer(exchange, arrived_at, passed)
-        exchange.memory = self.memory
-        self.memory.add(exchange.holding, self.clock())
-        try:
-            return await self._answer(exchange, arrived_at, passed)
-        finally:
-            self.memory.remove(exchange.holding)
-            exchange.holding.detach()
 
     async def _answer(
         self,
@@ -308,7 +303,9 @@
             if holding.is_dropped:
                 tasks.cancel_scope.cancel()
             if self.memory is not None:
-                holding.drop = _dropper(request.exchange, tasks.cancel_scope)
+                holding.drop = request_dropper(
+                    request.exchange, tasks.cancel_scope
+                )
                 holding.is_spared = request.is_in_doubt
             # The frames of a cancelled task are kept until the next garbage
             # collection, so they do not refer to the request.
@@ -429,27 +426,10 @@
     return round(seconds * _MS)
 
 
-def _dropper(
-    exchange: Exchange, scope: anyio.CancelScope
-) -> Callable[[], None]:
-    """Return a function that ends a request whose bytes are dropped."""
-
-    def drop() -> None:  # noqa: WPS430
-        scope.cancel()
-        if exchange.started:
-            # Its caller does not read, so an orderly end would not come.
-            exchange.abort()
-
-    return drop
-
-
 def _dropped(request: RoutedRequest) -> ServingError:
     request.body = b''
     if request.is_in_doubt():
-        return ServingError(
-            ErrorKind.target_failed,
-            'its bytes were dropped while a target had it',
-        )
+        return dropped_in_doubt()
     return memory_full()
 
 
--- a/tests/steps/caller_crowds_steps.py
+++ b/tests/steps/caller_crowds_steps.py
@@ -1,25 +1,29 @@
 """Steps for crowds of callers that stall or do not read."""
 
+import os
 import time
+from unittest import mock
 
 from behave import given, then, when
 
 from tests.support.caller_crowd import (
     Crowd,
-    absent,
-    ahead,
-    chunked,
+    Routes,
     is_served,
-    lengthy,
     open_descriptors,
     peak_mb,
     wait_settled,
 )
 from tests.support.gateway_cluster import GatewayCluster
+from tools.fleet import Fleet, generation
+from tools.processes import ProcessGroup, wait_until
 
 _BODY_BYTES = 1_000_000
 _MAX_BODY_BYTES = 4_194_304
 _PIECE_BYTES = 10_000
+# Longer than the callers of a crowd stay.
+_SLOW_SECONDS = 120
+_APPLY_SECONDS = 20
 _HALF_HEAD = b'POST /order/1 HTTP/1.1\r\nHost: desk.example\r\n'
 # Long enough for the gateway to notice that connections were closed.
 _LEAVING_SECONDS = 1.0
@@ -29,38 +33,40 @@
 _FREE_SECONDS = 30
 
 
-def _short(count):
-    return [lengthy(n, _BODY_BYTES, _BODY_BYTES - 1) for n in range(count)]
+def _short(routes, count):
+    return [
+        routes.lengthy(n, _BODY_BYTES, _BODY_BYTES - 1) for n in range(count)
+    ]
 
 
-def _large_chunks(count):
-    return [chunked(n, 15, 61_440) for n in range(count)]
+def _large_chunks(routes, count):
+    return [routes.chunked(n, 15, 61_440) for n in range(count)]
 
 
-def _one_byte_chunks(count):
-    return [chunked(n, 60_000, 1) for n in range(count)]
+def _one_byte_chunks(routes, count):
+    return [routes.chunked(n, 60_000, 1) for n in range(count)]
 
 
-def _whole(count):
-    return [absent(n, _BODY_BYTES) for n in range(count)]
+def _whole(routes, count):
+    return [routes.whole(n, _BODY_BYTES) for n in range(count)]
 
 
-def _ahead(count):
-    return [ahead(n, 400, 6000) for n in range(count)]
+def _ahead(routes, count):
+    return [routes.ahead(n, 400, 6000) for n in range(count)]
 
 
-def _idle(count):
+def _idle(_routes, count):
     return [b'' if n % 2 else _HALF_HEAD for n in range(count)]
 
 
-def _mixed(_count):
+def _mixed(routes, _count):
     return [
-        *_idle(60),
-        *_short(120),
-        *_large_chunks(60),
-        *_one_byte_chunks(12),
-        *_whole(60),
-        *_ahead(20),
+        *_idle(routes, 60),
+        *_short(routes, 120),
+        *_large_chunks(routes, 60),
+        *_one_byte_chunks(routes, 12),
+        *_whole(routes, 60),
+        *_ahead(routes, 20),
     ]
 
 
@@ -69,6 +75,7 @@
     'chunked bodies of large chunks without the last one': _large_chunks,
     'chunked bodies of one-byte chunks without the last one': _one_byte_chunks,
     'whole bodies for a model that lies on no engine': _whole,
+    'whole bodies for a service that answers later': _whole,
     'connections with requests ahead and no answer read': _ahead,
     'connections that send nothing or half a head': _idle,
     'connections of all these kinds': _mixed,
@@ -92,13 +99,54 @@
         # The model m3 is loaded after its callers have given up.
         cluster.engines[name].faults.order_delays = [9] * 200
     cluster.start('g1')
-    context.process = cluster.processes['g1']
-    context.port = cluster.ports['g1']['front']
-    context.crowd = Crowd(context.port)
+    context.routes = Routes()
+    context.log = lambda: cluster.log('g1')
+    _watch(context, cluster.processes['g1'], cluster.ports['g1']['front'])
+
+
+@given(
+    'an instance that serves on a machine with {megabytes:d} MB and '
+    '{descriptors:d} descriptors'
+)
+def given_instance(context, megabytes, descriptors):
+    processes = ProcessGroup()
+    context.add_cleanup(processes.close)
+    fleet = Fleet(processes)
+    limits = {
+        'COWSLIPRACK_MEMORY_MB': str(megabytes),
+        'COWSLIPRACK_MAX_DESCRIPTORS': str(descriptors),
+    }
+    with mock.patch.dict(os.environ, limits):
+        fleet.start()
+    slow = processes.start_service('slow-1')
+    slow.control(seconds=_SLOW_SECONDS)
+    fleet.questionnaire['targets']['slow-1'] = {
+        'kind': 'service',
+        'zone': 'zone-a',
+        'url': slow.url,
+        'pool': 'slow',
+    }
+    fleet.questionnaire['services']['reports'] = {
+        'pool': 'slow',
+        'open_to_all': True,
+    }
+    child = fleet.instances_by_id['a1']
+    before = generation(child)
+    fleet.apply()
+    assert wait_until(lambda: generation(child) > before, _APPLY_SECONDS)
+    context.routes = Routes('/services/stock/1', '/services/reports/1', ())
+    context.log = child.log_path.read_text
+    _watch(context, child.process, int(child.url.rpartition(':')[2]))
+
+
+def _watch(context, process, port):
+    context.process = process
+    context.port = port
+    context.crowd = Crowd(port)
     context.add_cleanup(context.crowd.leave)
     context.descriptors = 0
-    wait_settled(context.process)
-    context.descriptors_before = open_descriptors(context.process)
+    wait_settled(process)
+    context.descriptors_before = open_descriptors(process)
 
 
 @when('a crowd comes with {count:d} {kind}, in pieces')
@@ -112,7 +160,7 @@
 
 
 def _send(context, count, kind, piece):
-    payloads = _PAYLOADS_BY_CROWD[kind](count)
+    payloads = _PAYLOADS_BY_CROWD[kind](context.routes, count)
     assert len(payloads) == count
     context.crowd.send(payloads, piece)
     context.descriptors = open_descriptors(context.process)
@@ -126,6 +174,10 @@
     wait_settled(context.process)
 
 
+@then(
+    'the process has had at most {megabytes:d} MB and {descriptors:d} '
+    'descriptors'
+)
 @then(
     'the gateway has had at most {megabytes:d} MB and {descriptors:d} '
     'descriptors'
@@ -141,7 +193,9 @@
 
 @then('an ordinary request is answered')
 def then_answered(context):
-    assert is_served(context.port), context.cluster.log('g1')[-2000:]
+    assert is_served(context.port, context.routes.ordinary), context.log()[
+        -2000:
+    ]
 
 
 @then('the descriptors that the crowd took are free again')
--- a/tests/support/caller_crowd.py
+++ b/tests/support/caller_crowd.py
@@ -47,33 +47,43 @@
     return '\r\n'.join((*fixed, *lines, '', '')).encode()
 
 
-def lengthy(number, size, sent):
-    """Return a request with a body of a length, of which a part is sent."""
-    body = b'x' * sent
-    return head('/order/1', number, f'Content-Length: {size}') + body
+@dataclass(frozen=True)
+class Routes:
+    """Requests that a process under test takes.
 
+    :param ordinary: path that a target answers at once.
+    :param waiting: path that is answered after the callers have given up.
+    :param waiting_lines: header lines of those requests.
+    """
 
-def absent(number, size):
-    """Return a whole request for a model that lies on no engine."""
-    lines = ('X-Model: m3', f'Content-Length: {size}')
-    return head('/report/1', number, *lines) + b'x' * size
+    ordinary: str = '/order/1'
+    waiting: str = '/report/1'
+    waiting_lines: tuple[str, ...] = ('X-Model: m3',)
 
+    def lengthy(self, number, size, sent):
+        """Return a request with a body of a length, of which a part is sent."""
+        body = b'x' * sent
+        return head(self.ordinary, number, f'Content-Length: {size}') + body
 
-def chunked(number, count, size):
-    """Return a request with chunks of a size, without the last chunk."""
-    chunk = b'%x\r\n%s\r\n' % (size, b'x' * size)
-    lines = ('Transfer-Encoding: chunked',)
-    return head('/order/1', number, *lines) + chunk * count
+    def whole(self, number, size):
+        """Return a whole request that waits."""
+        lines = (*self.waiting_lines, f'Content-Length: {size}')
+        return head(self.waiting, number, *lines) + b'x' * size
 
+    def chunked(self, number, count, size):
+        """Return a request with chunks of a size, without the last chunk."""
+        chunk = b'%x\r\n%s\r\n' % (size, b'x' * size)
+        lines = ('Transfer-Encoding: chunked',)
+        return head(self.ordinary, number, *lines) + chunk * count
 
-def ahead(number, count, padding):
-    """Return requests that are sent ahead, with a large header each.
+    def ahead(self, number, count, padding):
+        """Return requests that are sent ahead, with a large header each.
 
-    The first one waits for a model, so that the others stay unread.
-    """
-    first = head('/report/1', number, 'X-Model: m3', 'Content-Length: 0')
-    lines = (f'X-Padding: {"x" * padding}', 'Content-Length: 0')
-    return first + head('/order/1', number, *lines) * count
+        The first one waits, so that the others stay unread.
+        """
+        first = self.whole(number, 0)
+        lines = (f'X-Padding: {"x" * padding}', 'Content-Length: 0')
+        return first + head(self.ordinary, number, *lines) * count
 
 
 class Crowd:
@@ -174,7 +184,7 @@
     return len(list(Path(f'/proc/{process.pid}/fd').iterdir()))
 
 
-def is_served(port):
+def is_served(port, path):
     """Return whether an ordinary request is answered.
 
     Its caller comes back while it is refused or its connection is closed.
@@ -190,9 +200,7 @@
         number += 1
         headers['X-Attempt-Id'] = f'ordinary-{time.monotonic()}-{number}'
         with contextlib.suppress(OSError):
-            status, _, _ = request(
-                port, 'POST', '/order/1', headers.items(), b'pay'
-            )
+            status, _, _ = request(port, 'POST', path, headers.items(), b'pay')
             if status == 200:
                 return True
             assert status in {429, 503}, status
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -20,7 +20,12 @@
 _MAX_PARALLEL_FEATURES = 4
 # Crowds of callers bound the memory of a process and load the machine, so their
 # features run alone, after the others.
-_LONE_FEATURES = frozenset(('tests/platform/caller_crowds.feature',))
+_LONE_FEATURES = frozenset(
+    (
+        'tests/platform/caller_crowds.feature',
+        'tests/transport/serve_crowds.feature',
+    )
+)
 
 
 @dataclass(frozen=True, slots=True)
