Share the TLS context of connections to targets

What callers saw: an instance outside the platform that had sent some hundred requests to a slow service took almost a megabyte for each, so that few callers that do not read could fill its memory.

Cause: a request that may not be repeated gets a client of its own, and each client loaded the certificates of the system into a TLS context of its own.

Change: all clients use one context.

--- a/cowsliprack/transport/target_client.py
+++ b/cowsliprack/transport/target_client.py
@@ -1,6 +1,8 @@
 """HTTP client for targets: orders, reports and callers' requests."""
 
+import functools
 import socket
+import ssl
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -253,6 +255,12 @@
         await answer.aclose()
 
 
+@functools.cache
+def _tls_context() -> ssl.SSLContext:
+    """Return the context of all connections; each takes almost a megabyte."""
+    return httpx.create_ssl_context(trust_env=False)
+
+
 def _new_client(connections: int) -> httpx.AsyncClient:
     return httpx.AsyncClient(
         trust_env=False,
@@ -264,6 +272,7 @@
         cookies=CookieJar(DefaultCookiePolicy(allowed_domains=())),
         event_hooks={'response': [_require_final_status]},
         transport=httpx.AsyncHTTPTransport(
+            verify=_tls_context(),
             trust_env=False,
             socket_options=_SOCKET_OPTIONS,
             limits=httpx.Limits(
