Count no load whose engine is silent beyond its expected end

Cause: the engine that loaded a model crashed at 5.9 s, 0.3 s before its load was due. The registry keeps the entry of a crashed engine for up to three check-in intervals, here 3.3 s, and for so long its load counted as one that the store serves. A load whose engine has left the registry ends at its expected time.

Callers are no longer told that such a model is about to be loaded. A slow load counts as before, as its engine answers.

Evidence: model_scheduler.feature, 1 row that failed before; a new scenario says that a load counts beyond its time while its engine answers. In the other scenarios loading engines now say so, as the executor asks them.

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -23,6 +23,10 @@
 _OVERDUE_SLOWDOWN = 1.1
 # Seconds within which loads that begin may reach the store in another order.
 _SAME_START_SECONDS = 0.25
+# Seconds after the expected end of a load from which it counts only while its
+# engine says that it goes on, and for which such an answer holds.
+_END_MARGIN_SECONDS = 0.5
+_ANSWER_SECONDS = 2.0
 # Seconds for which the limit is not raised after a load was slow. Loads beyond
 # what the store serves at full speed end later and block engines for longer.
 _RAISE_PAUSE_SECONDS = 60.0
@@ -206,6 +210,17 @@
         """
         return (now - self.engine.order_accepted_at) / self.stated_seconds
 
+    def is_silent(self, full_speed_loads: int, now: float) -> bool:
+        """Return whether the load should have ended, but nobody knows.
+
+        An engine that crashes may keep its entry in the registry for seconds.
+
+        :param full_speed_loads: see ``ends_at``.
+        :param now: seconds.
+        """
+        is_due = now > self.ends_at(full_speed_loads) + _END_MARGIN_SECONDS
+        return is_due and now > self.engine.order_seen_at + _ANSWER_SECONDS
+
     def ends_at(self, full_speed_loads: int) -> float:
         """Return when the load is expected to end, seconds.
 
@@ -232,6 +247,7 @@
     started_by_id: dict[str, ColdLoad] = field(default_factory=dict)
     lost: list[ColdLoad] = field(default_factory=list)
     _last: ColdLoad | None = None
+    _silent_ids: frozenset[str] = frozenset()
 
     def begin(
         self,
@@ -275,6 +291,24 @@
         self.lost = [
             one for one in self.lost if one.ends_at(full_speed_loads) > now
         ]
+        self._silent_ids = frozenset(
+            loading_id
+            for loading_id, one in self.started_by_id.items()
+            if one.is_silent(full_speed_loads, now)
+        )
+
+    def without_silent(
+        self, engines: Iterable[EngineState]
+    ) -> list[EngineState]:
+        """Return the engines without those whose load should have ended.
+
+        :param engines: see ``ColdLoad.is_silent``.
+        """
+        return [
+            engine
+            for engine in engines
+            if engine.target_id not in self._silent_ids
+        ]
 
     def started_at(self, target_id: str) -> float:
         """Return when the load of an engine began; ``inf`` if that is unknown.
@@ -299,7 +333,8 @@
         """
         return {
             load.model: load.ends_at(full_speed_loads)
-            for load in self.started_by_id.values()
+            for target_id, load in self.started_by_id.items()
+            if target_id not in self._silent_ids
         }
 
     def running_ends(self, full_speed_loads: int) -> list[float]:
@@ -325,14 +360,14 @@
 
         :param engines: engines whose loads count, beside the lost ones.
         """
-        return len(self.lost) + count_cold_loads(engines)
+        return len(self.lost) + count_cold_loads(self.without_silent(engines))
 
     def count_begun(self, engines: Iterable[EngineState]) -> int:
         """Return how many loads the weight store serves.
 
         :param engines: engines whose loads count, beside the lost ones.
         """
-        return len(self.lost) + count_begun_loads(engines)
+        return len(self.lost) + count_begun_loads(self.without_silent(engines))
 
 
 @dataclass(slots=True)
--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -575,6 +575,7 @@
         order = EngineOrder(engine.target_id, kind, model)
         engine.order = order
         engine.order_accepted_at = math.inf
+        engine.order_seen_at = -math.inf
         if kind is OrderKind.load:
             engine.assigned_model = ''
             if engine.is_cold(model):
@@ -778,7 +779,7 @@
         # A lost load slows down the store, but occupies no engine.
         engines = self.engines_by_id.values()
         return (
-            count_cold_loads(engines)
+            count_cold_loads(self._lost_loads.without_silent(engines))
             < self._max_cold_loads(candidate.benefit, now)
             and self._lost_loads.count(engines) < self.cold_loads.store_limit
             and self.cold_loads.may_start(self.spec.loads_per_second, now)
--- a/cowsliprack/state/engine_state.py
+++ b/cowsliprack/state/engine_state.py
@@ -38,6 +38,8 @@
     :param order: order in progress; an engine carries out one at a time.
     :param order_accepted_at: when the engine accepted that order, seconds;
         ``inf`` until that is known.
+    :param order_seen_at: when the engine last said that it carries out an
+        order, seconds; ``-inf`` if it has not since the order was sent.
     :param order_attempts: number of times that the order was sent.
     :param cold_loads_at_start: concurrent loads from the weight store when its
         last one began, including that one.
@@ -67,6 +69,7 @@
     order_count: int = 0
     order: EngineOrder | None = None
     order_accepted_at: float = math.inf
+    order_seen_at: float = -math.inf
     order_attempts: int = 0
     cold_loads_at_start: int = 1
     assigned_model: str = ''
--- a/cowsliprack/transport/order_executor.py
+++ b/cowsliprack/transport/order_executor.py
@@ -295,7 +295,10 @@
         # The models of a silent engine are loaded on other engines.
         engine.silent = survey is None
         self.changed()
-        if survey is None or survey.busy:
+        if survey is None:
+            return None
+        if survey.busy:
+            engine.order_seen_at = self.clock()
             return None
         if survey.order_count == engine.order_count:
             return None
@@ -355,9 +358,11 @@
         while self.is_current(engine):
             await anyio.sleep(_POLL_INTERVAL_SECONDS)
             survey = await self.engines.survey(engine.record)
-            if survey is not None and survey.order_count >= engine.order_count:
-                if not survey.busy:
-                    return
+            if survey is None or survey.order_count < engine.order_count:
+                continue
+            if not survey.busy:
+                return
+            engine.order_seen_at = self.clock()
 
     def _scheduler_of(self, engine: EngineState) -> ModelScheduler | None:
         for scheduler in self.state.schedulers_by_service.values():
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -266,9 +266,19 @@
     Then 1 loads were ordered
 
     Examples:
-      | loss                   |
-      | is removed             |
-      | restarts with its disk |
+      | loss                             |
+      | is removed                       |
+      | restarts with its disk           |
+      | crashes, and is still registered |
+
+  Scenario: A load that its engine still carries out after its time counts
+    Given 56 empty engines
+    And of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 took twice the expected time
+    And b is requested 1 times a second
+    And e2 loads b from the weight store, and e1 loads a 3 seconds later
+    And 1 request waits for c
+    When the scheduler plans 4 seconds later
+    Then 0 loads were ordered
 
   Scenario: Loads on time raise the limit step by step
     Given 56 empty engines
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -32,6 +32,7 @@
     context.groups = []
     context.now = _NOW
     context.ordered = []
+    context.unanswering = set()
 
 
 def _add_engine(context, name, held, on_disk=()):
@@ -565,6 +566,12 @@
     context.scheduler.engines_by_id.pop('e2')
 
 
+@when('the engine e2 crashes, and is still registered')
+def when_loading_engine_crashes(context):
+    assert context.scheduler.engines_by_id['e2'].loading_model()
+    context.unanswering.add('e2')
+
+
 @when('the engine e2 restarts with its disk')
 def when_loading_engine_restarts(context):
     lost = context.scheduler.engines_by_id['e2'].record
@@ -576,9 +583,20 @@
 @when('the scheduler plans {seconds:g} seconds later')
 def when_planned_later(context, seconds):
     context.now += seconds
+    _report_loads(context)
     context.ordered = context.scheduler.plan(context.groups, context.now)
 
 
+def _report_loads(context):
+    """Let the engines say that they still load, as the executor asks them."""
+    for engine in context.scheduler.engines_by_id.values():
+        is_answering = not engine.silent and (
+            engine.target_id not in context.unanswering
+        )
+        if engine.loading_model() and is_answering:
+            engine.order_seen_at = context.now
+
+
 @when('the scheduler plans for 1 second without demand')
 def when_plans_without_demand(context):
     for _ in range(20):
--- a/tools/bench/rotation_replay.py
+++ b/tools/bench/rotation_replay.py
@@ -105,6 +105,8 @@
         nothing but their disks.
     :param removal: time, number of engines that leave for good, and seconds
         until as many empty ones come.
+    :param entry_seconds: for which the registry keeps the entry of an engine
+        that has crashed.
     :param plan_seconds: interval of the plans of the scheduler.
     :param rejects_early: whether requests are rejected as soon as their model
         is known to be loaded too late.
@@ -134,6 +136,7 @@
     initial_replicas: tuple[int, ...] = (2, 2, 2, 2, 2)
     crash: EngineChange = (math.inf, 0, 0)
     removal: EngineChange = (math.inf, 0, 0)
+    entry_seconds: float = 0
     plan_seconds: float = _STEP_SECONDS
     rejects_early: bool = False
     zone_shares: tuple[float, ...] = (1,)
@@ -348,6 +351,7 @@
     _cold_started_by_id: dict[str, float] = field(default_factory=dict)
     _lost_load_ends: list[float] = field(default_factory=list)
     _disk_by_id: dict[str, list[str]] = field(default_factory=dict)
+    _crashed_until_by_id: dict[str, float] = field(default_factory=dict)
     _planned_at: float = -math.inf
     _changes: list[EngineChange] = field(init=False)
     _returning_engines: list[tuple[float, str, list[str]]] = field(
@@ -479,6 +483,10 @@
 
     def _change_engines(self, now: float) -> None:
         """Let engines crash, leave and return at their times."""
+        for target_id, until in list(self._crashed_until_by_id.items()):
+            if now >= until:
+                del self._crashed_until_by_id[target_id]
+                self.scheduler.engines_by_id.pop(target_id)
         due = [entry for entry in self._changes if now >= entry[0]]
         for change in due:
             self._changes.remove(change)
@@ -495,17 +503,23 @@
         engine_ids = sorted(self.scheduler.engines_by_id)
         is_removal = change is self.workload.removal
         for target_id in self.rng.sample(engine_ids, count):
-            self._remove_engine(target_id)
+            self._end_engine(target_id)
+            if is_removal or not self.workload.entry_seconds:
+                self.scheduler.engines_by_id.pop(target_id)
+                self._crashed_until_by_id.pop(target_id, None)
+            else:
+                until = now + self.workload.entry_seconds
+                self._crashed_until_by_id[target_id] = until
             disk = [] if is_removal else self._disk_by_id[target_id]
             name = f'{target_id}+' if is_removal else target_id
             self._returning_engines.append((now + seconds, name, disk))
 
-    def _remove_engine(self, target_id: str) -> None:
-        """Remove an engine with its running requests and orders.
+    def _end_engine(self, target_id: str) -> None:
+        """End the orders of an engine.
 
         The weight store goes on with a load that the engine has begun.
         """
-        engine = self.scheduler.engines_by_id.pop(target_id)
+        engine = self.scheduler.engines_by_id[target_id]
         if target_id in self._cold_started_by_id:
             self._lost_load_ends.extend(
                 ends_at
@@ -673,6 +687,7 @@
             engine
             for engine in self.scheduler.engines_by_id.values()
             if engine.offers(request.model)
+            and engine.target_id not in self._crashed_until_by_id
             and (
                 not request.adapter
                 or request.adapter in engine.adapters_by_model[request.model]
@@ -703,6 +718,9 @@
             self._pending_orders.remove(entry)
             _, engine, order = entry
             self._finish_order(engine, order, now)
+        for _, loading, _ in self._pending_orders:
+            # A leader asks engines whether their loads go on.
+            loading.order_seen_at = now
 
     def _finish_order(
         self, engine: EngineState, order: EngineOrder, now: float
@@ -724,6 +742,8 @@
     def _issue_orders(self, now: float) -> None:
         groups = self._group_waiting(now)
         for order in self.scheduler.plan(groups, now):
+            if order.target_id in self._crashed_until_by_id:
+                continue
             engine = self.scheduler.engines_by_id[order.target_id]
             resource = 'adapter' if order.adapter else 'model'
             self.orders_by_kind[f'{order.kind.value} {resource}'] += 1
