Lower the limit of loads only by what loading engines have said

Cause: a running load counted as slow by the clock alone, unless its engine was known to be silent or no instance had an answer from it. An engine that had crashed, or that the leader couldn't reach as its own zone was cut off, proved a slow store as soon as its load had been due for a tenth of its time. The end of a load that was seen late, after reports had got no answer, did the same. Class: no news of a process taken for news of the store.

Change: a load is slow as far as its engine has said that it goes on. The leader waits for that answer, for 5% of the stated time, before another load begins. A load whose end nobody has seen for a while changes the limit neither way.

A step that ended a slow load now lets the engine say so.

--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -21,6 +21,8 @@
 # A running load that exceeds its configured time by this factor is overdue; the
 # order and the poll for its end take up to 3% of it.
 _OVERDUE_SLOWDOWN = 1.1
+# Slowdown up to which the answer that shows it is waited for.
+_PROOF_SLOWDOWN = 1.15
 # Seconds within which loads that begin may reach the store in another order.
 _SAME_START_SECONDS = 0.25
 # Seconds after the expected end of a load from which it counts only while its
@@ -210,6 +212,14 @@
         """
         return (now - self.engine.order_accepted_at) / self.stated_seconds
 
+    def confirmed_slowdown(self) -> float:
+        """Return the same until the engine last said that the load goes on.
+
+        :returns: negative if it has not said so.
+        """
+        seconds = self.engine.order_seen_at - self.engine.order_accepted_at
+        return seconds / self.stated_seconds
+
     def is_silent(self, full_speed_loads: int, now: float) -> bool:
         """Return whether the load should have ended, but nobody knows.
 
@@ -310,6 +320,15 @@
             if engine.target_id not in self._silent_ids
         ]
 
+    def confirmed_slowdown(self, engine: EngineState) -> float:
+        """Return the slowdown of a load as far as its engine has shown it.
+
+        :param engine: that has loaded a model.
+        :returns: ``inf`` if the begin of the load is not known.
+        """
+        load = self.started_by_id.get(engine.target_id)
+        return load.confirmed_slowdown() if load else math.inf
+
     def started_at(self, target_id: str) -> float:
         """Return when the load of an engine began; ``inf`` if that is unknown.
 
@@ -347,14 +366,6 @@
             for load in (*self.started_by_id.values(), *self.lost)
         ]
 
-    def answering(self) -> list[ColdLoad]:
-        """Return the running loads on engines that answer."""
-        return [
-            load
-            for load in self.started_by_id.values()
-            if load.engine.is_usable() and not load.engine.suspected
-        ]
-
     def count(self, engines: Iterable[EngineState]) -> int:
         """Return how many loads the weight store serves or will soon.
 
@@ -422,8 +433,10 @@
 
         Of loads that began together, those that have not ended at their
         configured time began beside more than the store serves at full speed.
+        Time without an answer proves nothing: the engine may have crashed or be
+        cut off.
 
-        :param loads: running loads on engines that answer.
+        :param loads: running loads.
         :param now: seconds.
         """
         late = [
@@ -436,12 +449,13 @@
         overdue = Counter(
             load.batch
             for load in late
-            if load.slowdown(now) > _OVERDUE_SLOWDOWN
+            if load.confirmed_slowdown() > _OVERDUE_SLOWDOWN
         )
         for batch, count in overdue.items():
             self._lower(batch.most - count, now)
         self._is_awaiting_end = any(
-            load.slowdown(now) <= _OVERDUE_SLOWDOWN
+            load.confirmed_slowdown() <= _OVERDUE_SLOWDOWN
+            and load.slowdown(now) <= _PROOF_SLOWDOWN
             and load.batch.most - overdue[load.batch] <= self.store_limit
             for load in late
         )
@@ -470,6 +484,7 @@
         slowdown: float,
         now: float,
         started_at: float = math.inf,
+        confirmed_slowdown: float = math.inf,
     ) -> None:
         """Adjust the limit of the store after a load has ended.
 
@@ -481,11 +496,15 @@
         :param slowdown: duration in multiples of the configured time.
         :param now: seconds.
         :param started_at: when it began, seconds.
+        :param confirmed_slowdown: the same until the engine last said that the
+            load goes on. If it did not answer for a while, the load may have
+            ended long before that was seen.
         """
         if slowdown > _SLOWDOWN_LIMIT:
-            if started_at >= self.lowered_from:
+            least = min(slowdown, confirmed_slowdown)
+            if started_at >= self.lowered_from and least > _SLOWDOWN_LIMIT:
                 most = max(at_start, at_end)
-                self._lower(round(most / slowdown), now)
+                self._lower(round(most / least), now)
             return
         self.on_time += at_start >= self.store_limit
         # One load at a time may use only half of the store, so a limit of one
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -312,6 +312,18 @@
     'as long'
 )
 def when_slow_load(context, after, factor):
+    _end_load(context, after, factor, factor - 0.02)
+
+
+@when(
+    'a load begins {after:g} seconds after its term, and its engine answers '
+    'until {confirmed:g} and again from {factor:g} times the expected time on'
+)
+def when_unseen_end(context, after, confirmed, factor):
+    _end_load(context, after, factor, confirmed)
+
+
+def _end_load(context, after, factor, confirmed):
     scheduler = context.scheduler
     context.now += after
     engine = scheduler.engines_by_id['e1']
@@ -320,6 +332,8 @@
     assert engine.loading_model() == 'a', engine.order
     model = _spec().models_by_name['a']
     seconds = factor * model.cold_seconds
+    engine.order_accepted_at = context.now
+    engine.order_seen_at = context.now + confirmed * model.cold_seconds
     scheduler.end_cold_load(engine, model, seconds, context.now + seconds)
 
 
@@ -522,6 +536,11 @@
         context.scheduler.engines_by_id[order.target_id].silent = True
 
 
+@given('the engines of the last 2 crash, and are still registered')
+def given_two_crashed(context):
+    context.unanswering.update(order.target_id for order in context.orders[2:])
+
+
 @given(
     'of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 '
     'took twice the expected time'
