Let other engines load what is assigned to an engine that falls silent

Cause: to make room for a load, the leader ordered an unload from an engine that had crashed 0.5 s before. It found the engine silent with the first unanswered order, but the assignment counted as a load from the store until the engine was back, and no other engine was tried.

Change: the assignment of an engine that is not usable is dropped, and the model is assigned to another engine with the same plan. The unload stays in doubt.

Evidence: model_scheduler.feature, 1 scenario that failed before.

--- a/cowsliprack/coordination/model_scheduler.py
+++ b/cowsliprack/coordination/model_scheduler.py
@@ -234,6 +234,7 @@
         waiting = list(groups)
         self._update_index(waiting, now)
         self.busy_models.update(self._index, self.spec, self.rates, now)
+        _release_assigned(self.engines_by_id.values())
         orders = self._advance_assigned(now)
         if self.rates.is_established(now):
             self._drain_surplus(now)
@@ -832,6 +833,16 @@
         return orders
 
 
+def _release_assigned(engines: Iterable[EngineState]) -> None:
+    """Let other engines load what is assigned to engines now unusable.
+
+    Such a load would keep its turn at the weight store until they are back.
+    """
+    for engine in engines:
+        if not engine.is_usable():
+            engine.assigned_model = ''
+
+
 def _outwaits_load(spec: EngineSpec, demand: GroupDemand, now: float) -> bool:
     model = spec.models_by_name.get(demand.model)
     if model is None:
--- a/tests/coordination/model_scheduler.feature
+++ b/tests/coordination/model_scheduler.feature
@@ -271,6 +271,18 @@
       | restarts with its disk           |
       | crashes, and is still registered |
 
+  # A crashed engine kept a turn of the weight store until it was back.
+  Scenario: A load that waits for room on an engine that falls silent goes to another
+    Given engine e1 holds a, b and has a on disk
+    And engine e2 holds c, d and has c on disk
+    And there has been demand for a while
+    And 1 request waits for f
+    When the scheduler plans
+    And the scheduler plans 0.1 seconds later
+    And the engine that makes room for f does not answer any more
+    And the scheduler plans 0.1 seconds later
+    Then the other engine makes room for f
+
   Scenario: A load that its engine still carries out after its time counts
     Given 56 empty engines
     And of 4 loads that began together, 2 ended on time, 1 took 1.5 times and 1 took twice the expected time
--- a/tests/steps/model_scheduler_steps.py
+++ b/tests/steps/model_scheduler_steps.py
@@ -287,6 +287,23 @@
     context.scheduler.engines_by_id['e2'].silent = True
 
 
+@when('the engine that makes room for f does not answer any more')
+def when_room_silent(context):
+    (context.silent,) = _making_room(context)
+    context.silent.silent = True
+
+
+@then('the other engine makes room for f')
+def then_other_makes_room(context):
+    (engine,) = _making_room(context)
+    assert engine is not context.silent, engine
+
+
+def _making_room(context):
+    engines = context.scheduler.engines_by_id.values()
+    return [engine for engine in engines if engine.assigned_model == 'f']
+
+
 @when('the engine e2 answers again')
 def when_answers(context):
     context.scheduler.engines_by_id['e2'].silent = False
