Replay crashed engines that are still registered, and cut-off ones

The replay of the scheduler removed a crashed engine at once, and a leader always saw the end of a load, so that it could not show what such engines do to loads from the weight store. entry_seconds keeps the entry of a crashed engine, and cut keeps engines from the leader for a while; both are off in the workloads of the features. A load counts at the store until it ends, not until its end is seen.

--- a/tools/bench/rotation_replay.py
+++ b/tools/bench/rotation_replay.py
@@ -105,6 +105,8 @@
         nothing but their disks.
     :param removal: time, number of engines that leave for good, and seconds
         until as many empty ones come.
+    :param cut: time, number of engines, and seconds for which the leader
+        cannot reach them.
     :param entry_seconds: for which the registry keeps the entry of an engine
         that has crashed.
     :param plan_seconds: interval of the plans of the scheduler.
@@ -136,6 +138,7 @@
     initial_replicas: tuple[int, ...] = (2, 2, 2, 2, 2)
     crash: EngineChange = (math.inf, 0, 0)
     removal: EngineChange = (math.inf, 0, 0)
+    cut: EngineChange = (math.inf, 0, 0)
     entry_seconds: float = 0
     plan_seconds: float = _STEP_SECONDS
     rejects_early: bool = False
@@ -351,6 +354,7 @@
     _cold_started_by_id: dict[str, float] = field(default_factory=dict)
     _lost_load_ends: list[float] = field(default_factory=list)
     _disk_by_id: dict[str, list[str]] = field(default_factory=dict)
+    _cut_ids: frozenset[str] = frozenset()
     _crashed_until_by_id: dict[str, float] = field(default_factory=dict)
     _planned_at: float = -math.inf
     _changes: list[EngineChange] = field(init=False)
@@ -713,14 +717,25 @@
                 engine.running[f'{request.model}/{request.adapter}'] -= 1
 
     def _finish_orders(self, now: float) -> None:
-        finished = [entry for entry in self._pending_orders if entry[0] <= now]
+        cut_at, cut_count, cut_seconds = self.workload.cut
+        if not cut_at <= now < cut_at + cut_seconds:
+            self._cut_ids = frozenset()
+        elif not self._cut_ids:
+            engine_ids = sorted(self.scheduler.engines_by_id)
+            self._cut_ids = frozenset(self.rng.sample(engine_ids, cut_count))
+        finished = [
+            entry
+            for entry in self._pending_orders
+            if entry[0] <= now and entry[1].target_id not in self._cut_ids
+        ]
         for entry in finished:
             self._pending_orders.remove(entry)
             _, engine, order = entry
             self._finish_order(engine, order, now)
         for _, loading, _ in self._pending_orders:
             # A leader asks engines whether their loads go on.
-            loading.order_seen_at = now
+            if loading.target_id not in self._cut_ids:
+                loading.order_seen_at = now
 
     def _finish_order(
         self, engine: EngineState, order: EngineOrder, now: float
@@ -742,9 +757,11 @@
     def _issue_orders(self, now: float) -> None:
         groups = self._group_waiting(now)
         for order in self.scheduler.plan(groups, now):
+            engine = self.scheduler.engines_by_id[order.target_id]
             if order.target_id in self._crashed_until_by_id:
+                # An order without an answer shows that an engine is silent.
+                engine.silent = True
                 continue
-            engine = self.scheduler.engines_by_id[order.target_id]
             resource = 'adapter' if order.adapter else 'model'
             self.orders_by_kind[f'{order.kind.value} {resource}'] += 1
             if order.kind is OrderKind.load and not order.adapter:
@@ -767,10 +784,16 @@
             self.orders_by_kind['cold load'] += 1
             self._cold_started_by_id[engine.target_id] = now
             engine.order_accepted_at = now
-            lost = [
-                ends_at for ends_at in self._lost_load_ends if ends_at > now
+            ends = [
+                *self._lost_load_ends,
+                *(
+                    ends_at - _MESSAGE_SECONDS
+                    for ends_at, loading, running in self._pending_orders
+                    if loading.target_id in self._cold_started_by_id
+                    and not running.adapter
+                ),
             ]
-            concurrent = len(self._cold_started_by_id) + len(lost)
+            concurrent = 1 + sum(ends_at > now for ends_at in ends)
             seconds *= max(1, concurrent / self.workload.full_speed_loads)
         finished_at = now + seconds + _MESSAGE_SECONDS
         self._pending_orders.append((finished_at, engine, order))
