--- a/cowsliprack/coordination/cold_loads.py
+++ b/cowsliprack/coordination/cold_loads.py
@@ -21,7 +21,8 @@
 # A running load that exceeds its configured time by this factor is overdue; the
 # order and the poll for its end take up to 3% of it.
 _OVERDUE_SLOWDOWN = 1.1
-# Slowdown up to which the answer that shows it is waited for.
+# Slowdown up to which no other load begins, as the answer that shows whether a
+# load is overdue may be on its way.
 _PROOF_SLOWDOWN = 1.15
 # Seconds within which loads that begin may reach the store in another order.
 _SAME_START_SECONDS = 0.25
@@ -213,17 +214,17 @@
         return (now - self.engine.order_accepted_at) / self.stated_seconds
 
     def confirmed_slowdown(self) -> float:
-        """Return the same until the engine last said that the load goes on.
+        """Return the slowdown as of the last answer that the load goes on.
 
-        :returns: negative if it has not said so.
+        :returns: negative if the engine has not said so.
         """
         seconds = self.engine.order_seen_at - self.engine.order_accepted_at
         return seconds / self.stated_seconds
 
     def is_silent(self, full_speed_loads: int, now: float) -> bool:
-        """Return whether the load should have ended, but nobody knows.
+        """Return whether the load is due and its engine does not answer.
 
-        An engine that crashes may keep its entry in the registry for seconds.
+        A crashed engine may keep its entry in the registry for seconds.
 
         :param full_speed_loads: see ``ends_at``.
         :param now: seconds.
@@ -310,9 +311,9 @@
     def without_silent(
         self, engines: Iterable[EngineState]
     ) -> list[EngineState]:
-        """Return the engines without those whose load should have ended.
+        """Return the engines without those that are silent on a load.
 
-        :param engines: see ``ColdLoad.is_silent``.
+        :param engines: of the service; see ``ColdLoad.is_silent``.
         """
         return [
             engine
@@ -321,7 +322,7 @@
         ]
 
     def confirmed_slowdown(self, engine: EngineState) -> float:
-        """Return the slowdown of a load as far as its engine has shown it.
+        """Return the slowdown of a load as of its engine's last answer.
 
         :param engine: that has loaded a model.
         :returns: ``inf`` if the begin of the load is not known.
@@ -496,9 +497,9 @@
         :param slowdown: duration in multiples of the configured time.
         :param now: seconds.
         :param started_at: when it began, seconds.
-        :param confirmed_slowdown: the same until the engine last said that the
-            load goes on. If it did not answer for a while, the load may have
-            ended long before that was seen.
+        :param confirmed_slowdown: slowdown as of the engine's last answer that
+            the load goes on. If it did not answer for a while, the load may
+            have ended long before that was seen.
         """
         if slowdown > _SLOWDOWN_LIMIT:
             least = min(slowdown, confirmed_slowdown)
